--- /dev/null
+++ b/src/pistachioshed/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports on real libraries."""
--- /dev/null
+++ b/src/pistachioshed/apps/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the shipped binaries."""
--- /dev/null
+++ b/src/pistachioshed/core/tables.py
@@ -0,0 +1,194 @@
+"""Service tables: rows, validation, differences and merges of edits."""
+
+import ipaddress
+import math
+import typing
+from collections import abc
+
+MAX_ROWS = 4_000
+MAX_NAME_LENGTH = 63
+
+RowState = typing.Literal["active", "drain"]
+ROW_STATES: typing.Final = ("active", "drain")
+
+
+class Row(typing.NamedTuple):
+    """One upstream of a service.
+
+    `address` is "ip:port", `weight` the relative share of new flows, `connections`
+    the most open flows over the whole fleet, `slots` how many requests the host
+    works on at once.
+    """
+
+    upstream: str
+    address: str
+    zone: str
+    weight: float = 1.0
+    connections: int = 2_000
+    slots: int = 2
+    state: RowState = "active"
+
+
+class Table(typing.NamedTuple):
+    """All rows of a service at one version, ordered by upstream name."""
+
+    service: str
+    version: int
+    rows: tuple[Row, ...]
+    edit_id: str = ""
+
+
+class Edit(typing.NamedTuple):
+    """Rows to add or replace and names of rows to remove."""
+
+    edit_id: str
+    upserts: tuple[Row, ...] = ()
+    removals: tuple[str, ...] = ()
+
+
+class RowError(ValueError):
+    """A row that is not allowed; names the service, the row and the column."""
+
+    def __init__(self, service: str, upstream: str, column: str, allowed: str) -> None:
+        self.service = service
+        self.upstream = upstream
+        self.column = column
+        self.allowed = allowed
+        super().__init__(f"{service}: row {upstream!r}: {column}: {allowed}")
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Split "ip:port" or "[ip6]:port".
+
+    Parameters
+    ----------
+    address : str
+        The address to split.
+
+    Returns
+    -------
+    tuple of str and int
+        The IP number and the port, 1 to 65535.
+
+    Raises
+    ------
+    ValueError
+        If either part is missing or out of range.
+    """
+    host, _, port = address.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    ipaddress.ip_address(host)
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(f"{address!r} does not end in a port from 1 to 65535")
+    return host, int(port)
+
+
+def find_row_errors(table: Table) -> abc.Iterator[RowError]:
+    """Yield every fault of a table's rows."""
+    seen_names: set[str] = set()
+    seen_addresses: set[str] = set()
+    if len(table.rows) > MAX_ROWS:
+        yield RowError(table.service, "*", "rows", f"at most {MAX_ROWS}")
+    for row in table.rows:
+        for column, allowed in _find_column_faults(row):
+            yield RowError(table.service, row.upstream, column, allowed)
+        if row.upstream in seen_names:
+            yield RowError(table.service, row.upstream, "upstream", "must be unique")
+        if row.address in seen_addresses:
+            yield RowError(table.service, row.upstream, "address", "must be unique")
+        seen_names.add(row.upstream)
+        seen_addresses.add(row.address)
+
+
+def _find_column_faults(row: Row) -> abc.Iterator[tuple[str, str]]:
+    if not 0 < len(row.upstream) <= MAX_NAME_LENGTH or not row.upstream.isprintable():
+        yield "upstream", f"1 to {MAX_NAME_LENGTH} printable characters"
+    try:
+        parse_address(row.address)
+    except ValueError:
+        yield "address", "ip:port, with a port from 1 to 65535"
+    if not 0 < len(row.zone) <= MAX_NAME_LENGTH:
+        yield "zone", f"1 to {MAX_NAME_LENGTH} characters"
+    if not (math.isfinite(row.weight) and 0 <= row.weight <= 1_000):
+        yield "weight", "a number from 0 to 1000"
+    if not 0 <= row.connections <= 1_000_000:
+        yield "connections", "a whole number from 0 to 1000000"
+    if not 1 <= row.slots <= 10_000:
+        yield "slots", "a whole number from 1 to 10000"
+    if row.state not in ROW_STATES:
+        yield "state", "one of " + ", ".join(ROW_STATES)
+
+
+def validate_table(table: Table) -> None:
+    """Check a table.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of one `RowError` per fault.
+    """
+    errors = list(find_row_errors(table))
+    if errors:
+        raise ExceptionGroup(f"{table.service}: the table is not valid", errors)
+
+
+def apply_edit(table: Table, edit: Edit) -> Table:
+    """Return the table's next version with an edit applied.
+
+    Parameters
+    ----------
+    table : Table
+        The version that the edit starts from.
+    edit : Edit
+        The rows to change.
+
+    Returns
+    -------
+    Table
+        At `table.version + 1`, rows ordered by upstream name.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of `RowError`, for faulty rows, for a removal of an unknown row, and for a
+        changed address, since established flows are bound to the row's address.
+    """
+    rows = {row.upstream: row for row in table.rows}
+    errors = [
+        RowError(table.service, name, "upstream", "to remove a row, it must exist")
+        for name in edit.removals
+        if name not in rows
+    ]
+    errors += [
+        RowError(table.service, row.upstream, "address", "can not change; add a row")
+        for row in edit.upserts
+        if row.upstream in rows and rows[row.upstream].address != row.address
+    ]
+    for name in edit.removals:
+        rows.pop(name, None)
+    for row in edit.upserts:
+        rows[row.upstream] = row
+    ordered = tuple(rows[name] for name in sorted(rows))
+    edited = Table(table.service, table.version + 1, ordered, edit.edit_id)
+    errors += find_row_errors(edited)
+    if errors:
+        raise ExceptionGroup(f"{table.service}: the edit is not valid", errors)
+    return edited
+
+
+def diff_tables(old: Table, new: Table) -> tuple[str, ...]:
+    """Return the names of rows that differ between two tables, in order."""
+    before = {row.upstream: row for row in old.rows}
+    after = {row.upstream: row for row in new.rows}
+    names = sorted(before.keys() | after.keys())
+    return tuple(name for name in names if before.get(name) != after.get(name))
+
+
+def list_edited_rows(edit: Edit) -> frozenset[str]:
+    """Return the names of the rows that an edit touches."""
+    return frozenset(edit.removals) | {row.upstream for row in edit.upserts}
+
+
+def count_active_rows(table: Table) -> int:
+    """Count rows that may get new flows."""
+    return sum(row.state == "active" and row.weight > 0 for row in table.rows)
--- /dev/null
+++ b/src/pistachioshed/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces that the daemons need from the outside."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and the demo."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,15 @@
+"""Builders of test data."""
+
+from pistachioshed.core import tables
+
+
+def build_row(service: str, number: int, zone: str = "riga-a") -> tables.Row:
+    """Return the row of a service's host by its number, from 1."""
+    port = 20_000 + number
+    return tables.Row(f"{service}-{number}", f"127.0.0.1:{port}", zone)
+
+
+def build_table(service: str, hosts: int, version: int = 1) -> tables.Table:
+    """Return a table of equal rows."""
+    rows = tuple(build_row(service, number + 1) for number in range(hosts))
+    return tables.Table(service, version, rows, f"edit-{version}")
--- /dev/null
+++ b/tools/check_imports.py
@@ -0,0 +1,43 @@
+"""Check the house style's import rule: modules are imported, not names."""
+
+import ast
+import importlib.util
+import pathlib
+import sys
+from collections import abc
+
+ROOTS = ("src", "standins", "tests", "tools")
+
+
+def find_name_imports(path: pathlib.Path) -> abc.Iterator[str]:
+    """Yield one complaint per name that a file imports from a module."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.ImportFrom) or node.module is None:
+            continue
+        for alias in node.names:
+            if not is_module(f"{node.module}.{alias.name}"):
+                yield f"{path}:{node.lineno}: {alias.name} is not a module"
+
+
+def is_module(dotted_name: str) -> bool:
+    """Tell whether a dotted name can be imported as a module."""
+    try:
+        return importlib.util.find_spec(dotted_name) is not None
+    except ModuleNotFoundError:
+        return False
+
+
+def main() -> int:
+    """Check every source file and return the exit status."""
+    complaints = [
+        complaint
+        for root in ROOTS
+        for path in sorted(pathlib.Path(root).rglob("*.py"))
+        for complaint in find_name_imports(path)
+    ]
+    print("\n".join(complaints) or "imports: clean")
+    return 1 if complaints else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
