--- /dev/null
+++ b/src/pistachioshed/adapters/ini.py
@@ -0,0 +1,148 @@
+"""Read INI settings into a `NamedTuple`, reporting every fault of a file at once."""
+
+import configparser
+import pathlib
+import typing
+from collections import abc
+
+T = typing.TypeVar("T")
+Parse = abc.Callable[[str], object]
+
+
+class SettingError(ValueError):
+    """A setting that is missing, unknown or not allowed."""
+
+    def __init__(self, path: str, section: str, key: str, allowed: str) -> None:
+        self.path = path
+        self.section = section
+        self.key = key
+        self.allowed = allowed
+        super().__init__(f"{path}: [{section}] {key}: {allowed}")
+
+
+class Option(typing.NamedTuple):
+    """One key of a section.
+
+    `parse` turns text into a value and raises `ValueError` when it is not allowed;
+    `allowed` says in words what is. A `default` of None makes the key required.
+    """
+
+    section: str
+    key: str
+    field: str
+    parse: Parse
+    allowed: str
+    default: str | None = None
+    help: str = ""
+
+
+def read_settings(
+    path: pathlib.Path,
+    options: abc.Sequence[Option],
+    build: abc.Callable[..., T],
+    free_sections: abc.Collection[str] = (),
+) -> T:
+    """Read a settings file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The file.
+    options : sequence of Option
+        All keys that the file may hold.
+    build : callable
+        Called with one keyword per option and one dict of str to str per free section.
+    free_sections : collection of str
+        Sections whose keys are names that the operators choose.
+
+    Returns
+    -------
+    object
+        What `build` returns.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of one `SettingError` per fault of the file.
+    """
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    parser.optionxform = str  # type: ignore[method-assign, assignment]
+    try:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        fault = SettingError(str(path), "*", "*", f"the file can not be read: {error}")
+        raise ExceptionGroup("settings", [fault]) from error
+    errors = list(_find_unknown_keys(str(path), parser, options, free_sections))
+    values: dict[str, object] = {
+        section: dict(parser[section]) if parser.has_section(section) else {}
+        for section in free_sections
+    }
+    for option in options:
+        text = parser.get(option.section, option.key, fallback=option.default)
+        if text is None:
+            errors.append(_make_error(path, option, f"required: {option.allowed}"))
+            continue
+        try:
+            values[option.field] = option.parse(text)
+        except ValueError:
+            errors.append(_make_error(path, option, f"{text!r} is not allowed"))
+    if errors:
+        raise ExceptionGroup("settings", errors)
+    return build(**values)
+
+
+def _make_error(path: pathlib.Path, option: Option, problem: str) -> SettingError:
+    allowed = problem
+    if "required" not in problem:
+        allowed = f"{problem}: {option.allowed}"
+    return SettingError(str(path), option.section, option.key, allowed)
+
+
+def _find_unknown_keys(
+    path: str,
+    parser: configparser.ConfigParser,
+    options: abc.Sequence[Option],
+    free_sections: abc.Collection[str],
+) -> abc.Iterator[SettingError]:
+    known = {(option.section, option.key) for option in options}
+    sections = {option.section for option in options}
+    for section in parser.sections():
+        if section in free_sections:
+            continue
+        if section not in sections:
+            yield SettingError(path, section, "*", "unknown section")
+            continue
+        for key in parser[section]:
+            if (section, key) not in known:
+                yield SettingError(path, section, key, "unknown key")
+
+
+def parse_positive(text: str) -> float:
+    """Parse a finite number above 0."""
+    value = float(text)
+    if not 0 < value < float("inf"):
+        raise ValueError(text)
+    return value
+
+
+def parse_count(text: str) -> int:
+    """Parse a whole number of 0 or more."""
+    value = int(text)
+    if value < 0:
+        raise ValueError(text)
+    return value
+
+
+def parse_name(text: str) -> str:
+    """Parse a name of 1 to 63 printable characters without spaces."""
+    if not 0 < len(text) <= 63 or not text.isprintable() or " " in text:
+        raise ValueError(text)
+    return text
+
+
+def parse_flag(text: str) -> bool:
+    """Parse "yes" or "no"."""
+    if text not in ("yes", "no"):
+        raise ValueError(text)
+    return text == "yes"
--- /dev/null
+++ b/src/pistachioshed/adapters/link.py
@@ -0,0 +1,63 @@
+"""The pynng pair socket between a VM's control process and its balancer."""
+
+import asyncio
+import typing
+from collections import abc
+
+import pynng
+
+QUEUE_LENGTH: typing.Final = 256
+MAX_MESSAGE_BYTES: typing.Final = 8 * 1024 * 1024
+
+
+class Link:
+    """One end of the local link; two tasks own the socket.
+
+    The control process listens, the balancer dials and pynng dials again after a
+    loss. `send` never blocks: a full queue drops the oldest message, since every
+    message is a whole state that a later one repeats.
+    """
+
+    def __init__(self, deliver: abc.Callable[[bytes], None]) -> None:
+        self.deliver = deliver
+        self.socket = pynng.Pair0(recv_max_size=MAX_MESSAGE_BYTES)
+        self.outbox: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_LENGTH)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def listen(self, address: str) -> None:
+        """Listen at "ip:port" and start the tasks."""
+        self.socket.listen(f"tcp://{address}")
+        self._start()
+
+    def dial(self, address: str) -> None:
+        """Dial "ip:port", also if nothing listens yet, and start the tasks."""
+        self.socket.dial(f"tcp://{address}", block=False)
+        self._start()
+
+    def send(self, payload: bytes) -> None:
+        """Queue a message."""
+        if self.outbox.full():
+            self.outbox.get_nowait()
+        self.outbox.put_nowait(payload)
+
+    def close(self) -> None:
+        """Stop the tasks and close the socket."""
+        for task in self.tasks:
+            task.cancel()
+        self.socket.close()
+
+    def _start(self) -> None:
+        loop = asyncio.get_event_loop()
+        self.tasks = [
+            loop.create_task(self._send_messages()),
+            loop.create_task(self._receive_messages()),
+        ]
+
+    async def _send_messages(self) -> None:
+        while True:
+            payload = await self.outbox.get()
+            await self.socket.asend(payload)
+
+    async def _receive_messages(self) -> None:
+        while True:
+            self.deliver(await self.socket.arecv())
