--- a/src/pistachioshed/adapters/metrics.py
+++ b/src/pistachioshed/adapters/metrics.py
@@ -68,4 +68,5 @@
 
     host, port = address
     site = server.Site(app.resource())
-    return reactor.listenTCP(port, site, interface=host)
+    listening: interfaces.IListeningPort = reactor.listenTCP(port, site, interface=host)
+    return listening
