Add the history checker

Change: typed records and one rule function per promise, tested on one bad history per rule. Result: each of 11 bad histories is rejected by exactly its rule; a good one passes.

--- /dev/null
+++ b/src/pistachioshed/lab/history.py
@@ -0,0 +1,301 @@
+"""History of a run and the rules that it must not break.
+
+A history is a flat list of typed records, from a core-level experiment or from the
+JSON lines that processes write. Times are seconds on one clock.
+"""
+
+import collections
+import typing
+from collections import abc
+
+Outcome = typing.Literal["ran", "not run", "unknown"]
+
+
+class Operation(typing.NamedTuple):
+    """One request as its caller saw it.
+
+    `answer` is the request id that the answer named, None without an answer, and
+    `whole` tells whether the body was complete and intact.
+    """
+
+    caller: str
+    service: str
+    request: str
+    idempotent: bool
+    invoked_s: float
+    returned_s: float | None
+    outcome: Outcome
+    answer: str | None = None
+    whole: bool = True
+
+
+class Execution(typing.NamedTuple):
+    """An upstream ran a request."""
+
+    service: str
+    upstream: str
+    request: str
+    at_s: float
+
+
+class Delivery(typing.NamedTuple):
+    """A packet of a flow reached an upstream; `upstream_service` is the latter's."""
+
+    service: str
+    flow: str
+    upstream: str
+    upstream_service: str
+    opening: bool
+    at_s: float
+
+
+class EditAccepted(typing.NamedTuple):
+    """The store accepted a table version."""
+
+    service: str
+    version: int
+    at_s: float
+
+
+class VersionInForce(typing.NamedTuple):
+    """A node put a table version in force."""
+
+    node: str
+    service: str
+    version: int
+    at_s: float
+
+
+class NodeLive(typing.NamedTuple):
+    """A node was live from `from_s` until `until_s`."""
+
+    node: str
+    from_s: float
+    until_s: float
+
+
+class UpstreamLeaving(typing.NamedTuple):
+    """An upstream was marked leaving, by its row or by its own health endpoint."""
+
+    service: str
+    upstream: str
+    at_s: float
+
+
+Record = (
+    Operation
+    | Execution
+    | Delivery
+    | EditAccepted
+    | VersionInForce
+    | NodeLive
+    | UpstreamLeaving
+)
+
+
+class Bounds(typing.NamedTuple):
+    """Stated targets that the rules check against.
+
+    `planned_only` tells that no unplanned failure was part of the run, so every
+    operation must have a known outcome and every flow must keep its upstream.
+    """
+
+    leaving_s: float = 5.0
+    in_force_s: float = 4.0
+    planned_only: bool = False
+
+
+class Violation(typing.NamedTuple):
+    """A broken rule, with the records that show it."""
+
+    rule: str
+    detail: str
+
+
+Rule = abc.Callable[[abc.Sequence[Record], Bounds], abc.Iterator[Violation]]
+
+
+def check_history(records: abc.Sequence[Record], bounds: Bounds) -> list[Violation]:
+    """Return every violation in a history.
+
+    Parameters
+    ----------
+    records : sequence of Record
+        The history, in any order.
+    bounds : Bounds
+        The targets of the run.
+
+    Returns
+    -------
+    list of Violation
+        Empty if the history keeps every rule.
+    """
+    return [violation for rule in RULES for violation in rule(records, bounds)]
+
+
+def find_repeated_executions(
+    records: abc.Sequence[Record], bounds: Bounds
+) -> abc.Iterator[Violation]:
+    """Yield non-idempotent requests that ran more than once."""
+    counts = collections.Counter(
+        (record.service, record.request)
+        for record in records
+        if isinstance(record, Execution)
+    )
+    for operation in _select_operations(records):
+        count = counts[operation.service, operation.request]
+        if not operation.idempotent and count > 1:
+            yield Violation("at most once", f"{operation.request} ran {count} times")
+
+
+def find_false_refusals(
+    records: abc.Sequence[Record], bounds: Bounds
+) -> abc.Iterator[Violation]:
+    """Yield requests refused as not run that ran, and answers nobody computed."""
+    ran = {
+        (record.service, record.request)
+        for record in records
+        if isinstance(record, Execution)
+    }
+    for operation in _select_operations(records):
+        executed = (operation.service, operation.request) in ran
+        if operation.outcome == "not run" and executed:
+            yield Violation("not run is true", f"{operation.request} ran")
+        if operation.outcome == "ran" and not executed:
+            yield Violation("ran is true", f"{operation.request} never ran")
+
+
+def find_wrong_answers(
+    records: abc.Sequence[Record], bounds: Bounds
+) -> abc.Iterator[Violation]:
+    """Yield answers that are another request's or not whole."""
+    for operation in _select_operations(records):
+        if operation.outcome != "ran":
+            continue
+        if operation.answer != operation.request:
+            detail = f"{operation.request} got the answer to {operation.answer}"
+            yield Violation("own answer", detail)
+        elif not operation.whole:
+            yield Violation("whole answer", f"{operation.request} was cut")
+
+
+def find_crossed_services(
+    records: abc.Sequence[Record], bounds: Bounds
+) -> abc.Iterator[Violation]:
+    """Yield packets that reached an upstream of another service."""
+    for record in records:
+        if isinstance(record, Delivery) and record.service != record.upstream_service:
+            detail = f"{record.service} packet at {record.upstream}"
+            yield Violation("services apart", detail)
+
+
+def find_work_at_leaving(
+    records: abc.Sequence[Record], bounds: Bounds
+) -> abc.Iterator[Violation]:
+    """Yield flows that opened at an upstream too long after it began to leave."""
+    leaving: dict[tuple[str, str], float] = {}
+    for record in records:
+        if isinstance(record, UpstreamLeaving):
+            key = (record.service, record.upstream)
+            leaving[key] = min(record.at_s, leaving.get(key, record.at_s))
+    first_seen: dict[str, Delivery] = {}
+    for delivery in _select_deliveries(records):
+        first_seen.setdefault(delivery.flow, delivery)
+    for delivery in first_seen.values():
+        since = leaving.get((delivery.service, delivery.upstream))
+        if since is not None and delivery.at_s > since + bounds.leaving_s:
+            late = delivery.at_s - since
+            detail = f"{delivery.flow} opened at {delivery.upstream} after {late:.1f} s"
+            yield Violation("leaving upstream", detail)
+
+
+def find_late_edits(
+    records: abc.Sequence[Record], bounds: Bounds
+) -> abc.Iterator[Violation]:
+    """Yield edits that a live node did not have in force in time."""
+    in_force = [record for record in records if isinstance(record, VersionInForce)]
+    lives = [record for record in records if isinstance(record, NodeLive)]
+    for edit in records:
+        if not isinstance(edit, EditAccepted):
+            continue
+        deadline = edit.at_s + bounds.in_force_s
+        for live in lives:
+            if live.from_s > edit.at_s or live.until_s < deadline:
+                continue
+            if not any(
+                record.node == live.node
+                and record.service == edit.service
+                and record.version >= edit.version
+                and record.at_s <= deadline
+                for record in in_force
+            ):
+                detail = f"{edit.service} v{edit.version} late on {live.node}"
+                yield Violation("edit in force", detail)
+
+
+def find_reverted_versions(
+    records: abc.Sequence[Record], bounds: Bounds
+) -> abc.Iterator[Violation]:
+    """Yield nodes whose version in force fell."""
+    newest: dict[tuple[str, str], int] = {}
+    in_force = [record for record in records if isinstance(record, VersionInForce)]
+    for record in sorted(in_force, key=lambda record: record.at_s):
+        key = (record.node, record.service)
+        if record.version < newest.get(key, 0):
+            detail = f"{record.service} fell to v{record.version} on {record.node}"
+            yield Violation("never reverts", detail)
+        newest[key] = max(record.version, newest.get(key, 0))
+
+
+def find_moved_flows(
+    records: abc.Sequence[Record], bounds: Bounds
+) -> abc.Iterator[Violation]:
+    """Yield flows that reached a second upstream in a run of planned changes."""
+    if not bounds.planned_only:
+        return
+    for flow, upstreams in list_flow_upstreams(records).items():
+        if len(upstreams) > 1:
+            yield Violation("flow survives", f"{flow} reached {', '.join(upstreams)}")
+
+
+def find_cut_requests(
+    records: abc.Sequence[Record], bounds: Bounds
+) -> abc.Iterator[Violation]:
+    """Yield operations of unknown outcome in a run of planned changes."""
+    if not bounds.planned_only:
+        return
+    for operation in _select_operations(records):
+        if operation.outcome == "unknown":
+            yield Violation("no request cut", f"{operation.request} has no answer")
+
+
+def list_flow_upstreams(records: abc.Iterable[Record]) -> dict[str, list[str]]:
+    """Return the upstreams that each flow's packets reached, in order of arrival."""
+    upstreams: dict[str, list[str]] = {}
+    for delivery in _select_deliveries(records):
+        reached = upstreams.setdefault(delivery.flow, [])
+        if delivery.upstream not in reached:
+            reached.append(delivery.upstream)
+    return upstreams
+
+
+def _select_operations(records: abc.Iterable[Record]) -> abc.Iterator[Operation]:
+    return (record for record in records if isinstance(record, Operation))
+
+
+def _select_deliveries(records: abc.Iterable[Record]) -> list[Delivery]:
+    deliveries = [record for record in records if isinstance(record, Delivery)]
+    return sorted(deliveries, key=lambda delivery: delivery.at_s)
+
+
+RULES: typing.Final[tuple[Rule, ...]] = (
+    find_repeated_executions,
+    find_false_refusals,
+    find_wrong_answers,
+    find_crossed_services,
+    find_work_at_leaving,
+    find_late_edits,
+    find_reverted_versions,
+    find_moved_flows,
+    find_cut_requests,
+)
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,50 @@
+"""The history checker rejects one bad history per rule."""
+
+import pytest
+
+from pistachioshed.lab import history
+
+RAN = history.Operation("painter-1", "booking", "r1", False, 1.0, 2.0, "ran", "r1")
+EXECUTED = history.Execution("booking", "booking-1", "r1", 1.5)
+OPENED = history.Delivery("booking", "f1", "booking-1", "booking", True, 1.0)
+ACCEPTED = history.EditAccepted("booking", 2, 10.0)
+LIVE = history.NodeLive("riga-a-1", 0.0, 60.0)
+IN_FORCE = history.VersionInForce("riga-a-1", "booking", 2, 11.0)
+GOOD: list[history.Record] = [RAN, EXECUTED, OPENED, ACCEPTED, LIVE, IN_FORCE]
+PLANNED = history.Bounds(planned_only=True)
+
+BAD: dict[str, list[history.Record]] = {
+    "at most once": [RAN, EXECUTED, EXECUTED._replace(upstream="booking-2")],
+    "not run is true": [RAN._replace(outcome="not run"), EXECUTED],
+    "ran is true": [RAN],
+    "own answer": [RAN._replace(answer="r2"), EXECUTED],
+    "whole answer": [RAN._replace(whole=False), EXECUTED],
+    "services apart": [OPENED._replace(upstream_service="sheets")],
+    "leaving upstream": [
+        history.UpstreamLeaving("booking", "booking-1", 1.0),
+        OPENED._replace(at_s=6.1),
+    ],
+    "edit in force": [ACCEPTED, LIVE, IN_FORCE._replace(at_s=14.1)],
+    "never reverts": [IN_FORCE, IN_FORCE._replace(version=1, at_s=12.0)],
+    "flow survives": [OPENED, OPENED._replace(upstream="booking-2", at_s=2.0)],
+    "no request cut": [RAN._replace(outcome="unknown", returned_s=None)],
+}
+
+
+def test_good_history_passes() -> None:
+    """Guards against a checker that rejects what is allowed."""
+    assert history.check_history(GOOD, PLANNED) == []
+
+
+@pytest.mark.parametrize("rule", BAD)
+def test_bad_history_is_rejected(rule: str) -> None:
+    """Guards against a rule that lets its own violation pass."""
+    found = {violation.rule for violation in history.check_history(BAD[rule], PLANNED)}
+    assert found == {rule}
+
+
+def test_edit_is_not_expected_of_a_node_that_was_down() -> None:
+    """Guards against blaming a node that started after the edit or died early."""
+    lives = [LIVE._replace(from_s=10.5), LIVE._replace(until_s=13.0)]
+    records: list[history.Record] = [ACCEPTED, *lives]
+    assert history.check_history(records, history.Bounds()) == []
