--- /dev/null
+++ b/src/pistachioshed/lab/fleet.py
@@ -0,0 +1,277 @@
+"""The balancers of an experiment and the network between them, callers and hosts."""
+
+import heapq
+import itertools
+import random
+import typing
+from collections import abc
+
+from pistachioshed.core import events, settings, tables
+from pistachioshed.lab import history, hosts
+
+TICK_S: typing.Final = 0.1
+VM_LIST_LAG_S: typing.Final = 20.0
+CONTROL_KEY: typing.Final = b"experiment"
+
+Task = abc.Callable[[], None]
+
+
+class NodeLike(typing.Protocol):
+    """What an experiment needs of a balancer."""
+
+    def handle(self, event: events.Event, now: float) -> list[events.Action]:
+        """Return the actions for an event."""
+
+
+BuildNode = abc.Callable[[settings.Settings, int], NodeLike]
+
+
+class Packet(typing.NamedTuple):
+    """A datagram of a flow; `request` is set where it carries one."""
+
+    service: str
+    key: bytes
+    flow: str
+    kind: events.PacketKind
+    opening_id: int
+    request: str | None = None
+    work_s: float = 0.0
+
+
+class Answer(typing.NamedTuple):
+    """A datagram back to a caller: an accepted opening, an answer or a reset."""
+
+    kind: typing.Literal["accepted", "answer", "reset", "refused"]
+    flow: str
+    request: str | None = None
+    certain: bool = False
+
+
+class Path(typing.NamedTuple):
+    """The balancer and port slot that a host answers to."""
+
+    node: str
+    service: str
+    upstream: str
+    port: int
+
+
+class Clock:
+    """Virtual time: runs tasks in order of their time, then of their scheduling."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.queue: list[tuple[float, int, Task]] = []
+        self.order = itertools.count()
+
+    def schedule(self, delay_s: float, task: Task) -> None:
+        """Run a task after a delay."""
+        heapq.heappush(self.queue, (self.now + delay_s, next(self.order), task))
+
+    def run_until(self, end_s: float) -> None:
+        """Run every task due until a time."""
+        while self.queue and self.queue[0][0] <= end_s:
+            self.now, _, task = heapq.heappop(self.queue)
+            task()
+        self.now = end_s
+
+
+class Delays(typing.NamedTuple):
+    """One-way delays in seconds."""
+
+    between_zones_s: float = 0.001
+    to_callers_s: float = 0.001
+
+
+class Fleet:
+    """Balancers, hosts and the network; callers register to receive answers."""
+
+    def __init__(self, clock: Clock, seed: int, delays: Delays) -> None:
+        self.clock = clock
+        self.random = random.Random(seed)
+        self.delays = delays
+        self.nodes: dict[str, NodeLike] = {}
+        self.vms: dict[str, events.Vm] = {}
+        self.fabric: list[str] = []
+        self.hosts: dict[tuple[str, str], hosts.Host] = {}
+        self.receivers: dict[bytes, abc.Callable[[Answer], None]] = {}
+        self.records: list[history.Record] = []
+        self.control_bytes: dict[str, int] = {}
+        self.control_messages = 0
+        self.relays = 0
+        self.drops: dict[str, int] = {}
+        self.finished: set[str] = set()
+        self.cuts: set[frozenset[str]] = set()
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.jitter_s = 0.0
+        self.frozen: set[str] = set()
+
+    def add_node(
+        self,
+        vm: events.Vm,
+        build: BuildNode,
+        seed: int,
+        current: abc.Iterable[tables.Table],
+    ) -> None:
+        """Start a balancer with the tables now in force and the VM list."""
+        node_settings = settings.Settings(
+            vm.name, vm.zone, vm.address, vm.capacity, CONTROL_KEY
+        )
+        self.nodes[vm.name] = build(node_settings, seed)
+        self.vms[vm.name] = vm
+        self.control_bytes.setdefault(vm.name, 0)
+        self.finished.discard(vm.name)
+        self.send_vms()
+        for table in current:
+            self.deliver_event(vm.name, events.TableReceived(table))
+        self.fabric.append(vm.name)
+        node = self.nodes[vm.name]
+        offset = self.random.random() * TICK_S
+        self.clock.schedule(offset, lambda: self._tick(vm.name, node))
+
+    def remove_node(self, name: str) -> None:
+        """Stop a balancer at once, as a crash does; the VM list learns it late."""
+        self.nodes.pop(name, None)
+        if name in self.fabric:
+            self.fabric.remove(name)
+        vm = self.vms[name]
+        self.clock.schedule(VM_LIST_LAG_S, lambda: self._drop_vm(vm))
+
+    def stop_node(self, name: str) -> None:
+        """Ask a balancer to stop gracefully; the fabric then leaves it out."""
+        self.deliver_event(name, events.StopRequested())
+        self.clock.schedule(0.5, lambda: self._leave_fabric(name))
+
+    def send_vms(self) -> None:
+        """Hand the current VM list to every balancer."""
+        event = events.VmsReceived(tuple(self.vms.values()))
+        for name in list(self.nodes):
+            self.deliver_event(name, event)
+
+    def send_packet(self, packet: Packet) -> None:
+        """Let the fabric hand a caller's packet to a random balancer."""
+        if not self.fabric:
+            return
+        name = self.random.choice(self.fabric)
+        event = events.CallerPacket(
+            packet.service, packet.key, packet.kind, packet.opening_id
+        )
+        self._transmit(
+            self.delays.to_callers_s, lambda: self.deliver_event(name, event, packet)
+        )
+
+    def deliver_event(
+        self, name: str, event: events.Event, packet: Packet | Answer | None = None
+    ) -> None:
+        """Hand an event to a balancer and carry out its actions."""
+        node = self.nodes.get(name)
+        if node is None or name in self.frozen:
+            return
+        for action in node.handle(event, self.clock.now):
+            self._carry_out(name, action, packet)
+
+    def answer_request(self, request: hosts.Request) -> None:
+        """Send a host's answer back on the path that its request came by."""
+        self._return_answer(
+            request.path, Answer("answer", request.flow, request.request)
+        )
+
+    def _carry_out(
+        self, name: str, action: events.Action, packet: Packet | Answer | None
+    ) -> None:
+        if isinstance(action, events.SendUpstream) and isinstance(packet, Packet):
+            path = Path(name, action.service, action.upstream, action.port)
+            self._send(name, "", lambda: self._reach_host(path, packet))
+        elif isinstance(action, events.SendOwner) and isinstance(packet, Packet):
+            self.relays += 1
+            event = events.RelayedPacket(
+                name, packet.service, packet.key, packet.kind, packet.opening_id
+            )
+            peer = action.peer
+            self._send(name, peer, lambda: self.deliver_event(peer, event, packet))
+        elif isinstance(action, events.SendCaller) and isinstance(packet, Answer):
+            self._reach_caller(action.flow, packet)
+        elif isinstance(action, events.RefuseOpening) and isinstance(packet, Packet):
+            refusal = Answer("refused", packet.flow, certain=action.not_run)
+            self._reach_caller(packet.key, refusal)
+        elif isinstance(action, events.SendPeer):
+            self.control_bytes[name] += len(action.payload)
+            self.control_messages += 1
+            message = events.PeerMessage(name, action.payload)
+            target = action.peer
+            self._send(name, target, lambda: self.deliver_event(target, message))
+        elif isinstance(action, events.DropPacket):
+            self.drops[action.reason] = self.drops.get(action.reason, 0) + 1
+        elif isinstance(action, events.Finished):
+            self.finished.add(name)
+
+    def _send(self, source: str, target: str, task: Task) -> None:
+        if frozenset((source, target)) in self.cuts:
+            return
+        self._transmit(self.delays.between_zones_s, task)
+
+    def _transmit(self, delay_s: float, task: Task) -> None:
+        copies = (
+            2 if self.duplication and self.random.random() < self.duplication else 1
+        )
+        for _ in range(copies):
+            if self.loss and self.random.random() < self.loss:
+                continue
+            jitter_s = self.random.random() * self.jitter_s if self.jitter_s else 0.0
+            self.clock.schedule(delay_s + jitter_s, task)
+
+    def _reach_host(self, path: Path, packet: Packet) -> None:
+        host = self.hosts[path.service, path.upstream]
+        opening = packet.kind is events.PacketKind.OPENING
+        self.records.append(
+            history.Delivery(
+                packet.service,
+                packet.flow,
+                path.upstream,
+                host.service,
+                opening,
+                self.clock.now,
+            )
+        )
+        if not host.up:
+            return
+        if opening:
+            host.open_connection(packet.flow, path)
+            self._return_answer(path, Answer("accepted", packet.flow))
+        elif packet.flow not in host.connections:
+            self._return_answer(path, Answer("reset", packet.flow))
+        elif packet.request is None:
+            host.close_connection(packet.flow)
+        else:
+            host.receive_request(
+                hosts.Request(packet.flow, packet.request, packet.work_s, path)
+            )
+
+    def _return_answer(self, path: Path, answer: Answer) -> None:
+        event = events.UpstreamPacket(path.service, path.upstream, path.port)
+        name = path.node
+        self._send("", name, lambda: self.deliver_event(name, event, answer))
+
+    def _reach_caller(self, key: bytes, answer: Answer) -> None:
+        receive = self.receivers.get(key)
+        if receive is not None:
+            self._transmit(self.delays.to_callers_s, lambda: receive(answer))
+
+    def _tick(self, name: str, node: NodeLike) -> None:
+        if self.nodes.get(name) is not node:
+            return
+        self.deliver_event(name, events.Tick())
+        if name in self.finished:
+            self.remove_node(name)
+            return
+        self.clock.schedule(TICK_S, lambda: self._tick(name, node))
+
+    def _leave_fabric(self, name: str) -> None:
+        if name in self.fabric:
+            self.fabric.remove(name)
+
+    def _drop_vm(self, vm: events.Vm) -> None:
+        if vm.name not in self.nodes and self.vms.get(vm.name) is vm:
+            del self.vms[vm.name]
+            self.send_vms()
--- /dev/null
+++ b/src/pistachioshed/lab/measures.py
@@ -0,0 +1,162 @@
+"""Run one experiment and reduce it to measures."""
+
+import typing
+from collections import abc
+
+from hdrh import histogram
+
+from pistachioshed.lab import (
+    callers,
+    deployments,
+    fleet,
+    history,
+    scenarios,
+    world,
+)
+
+WARM_UP_S: typing.Final = 10.0
+# Flows last about 15 s, so from here on nearly all were placed after the change.
+BALANCE_FROM_S: typing.Final = 40.0
+SAMPLE_INTERVAL_S: typing.Final = 1.0
+MAX_LATENCY_US: typing.Final = 60_000_000
+
+
+class ServiceMeasures(typing.NamedTuple):
+    """Measures of one service.
+
+    `imbalance` is max over mean of open connections per weight, averaged over one
+    sample a second when flows placed before a change have ended; `opened_imbalance`
+    is the same of the flows opened in that time. Latencies are in milliseconds.
+    `worst_load` is the highest share of a host's slot-seconds in use.
+    """
+
+    service: str
+    flows: callers.Tally
+    requests: int
+    imbalance: float
+    opened_imbalance: float
+    p50_ms: float
+    p99_ms: float
+    worst_load: float
+
+
+class Measures(typing.NamedTuple):
+    """Measures of one experiment."""
+
+    scenario: str
+    policy: str
+    services: tuple[ServiceMeasures, ...]
+    violations: tuple[history.Violation, ...]
+    control_bytes_per_node_s: float
+    relayed_share: float
+    drops: dict[str, int]
+
+
+def run_experiment(
+    deployment: deployments.Deployment,
+    scenario: scenarios.Scenario,
+    policy: str,
+    build: fleet.BuildNode,
+    seed: int,
+    duration_s: float = 60.0,
+) -> Measures:
+    """Run a scenario on a deployment with balancers of one kind.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Zones, balancers, services and load.
+    scenario : Scenario
+        What happens.
+    policy : str
+        The name of the kind of balancer, for the report.
+    build : callable
+        Makes one balancer.
+    seed : int
+        Seed of all randomness of the run.
+    duration_s : float
+        Virtual seconds with load; flows then get 15 s more to end.
+
+    Returns
+    -------
+    Measures
+        The reduced measures.
+    """
+    lab = world.World(deployment, build, seed)
+    scenario.prepare(lab)
+    samples: dict[str, list[float]] = {
+        service.name: [] for service in deployment.services
+    }
+    lab.clock.schedule(
+        min(BALANCE_FROM_S, duration_s / 2),
+        lambda: _start_samples(lab, samples, duration_s),
+    )
+    lab.clock.schedule(3.0, lambda: lab.start_load(duration_s))
+    lab.clock.run_until(duration_s + 15.0)
+    bounds = history.Bounds(planned_only=scenario.planned)
+    violations = history.check_history(lab.fleet.records, bounds)
+    packets = sum(isinstance(record, history.Delivery) for record in lab.fleet.records)
+    node_seconds = lab.clock.now * max(len(lab.fleet.nodes), 1)
+    return Measures(
+        scenario.name,
+        policy,
+        tuple(
+            _measure_service(lab, service.name, samples[service.name], duration_s)
+            for service in deployment.services
+        ),
+        tuple(violations),
+        sum(lab.fleet.control_bytes.values()) / node_seconds,
+        lab.fleet.relays / max(packets, 1),
+        dict(lab.fleet.drops),
+    )
+
+
+def _start_samples(
+    lab: world.World, samples: dict[str, list[float]], end_s: float
+) -> None:
+    for host in lab.fleet.hosts.values():
+        host.accepted = 0
+    _sample(lab, samples, end_s)
+
+
+def _sample(lab: world.World, samples: dict[str, list[float]], end_s: float) -> None:
+    for service, values in samples.items():
+        ratio = _compare_hosts(lab, service, lambda host: float(len(host.connections)))
+        if ratio is not None:
+            values.append(ratio)
+    if lab.clock.now < end_s:
+        lab.clock.schedule(SAMPLE_INTERVAL_S, lambda: _sample(lab, samples, end_s))
+
+
+def _compare_hosts(
+    lab: world.World, service: str, measure: abc.Callable[[typing.Any], float]
+) -> float | None:
+    values = [
+        measure(lab.fleet.hosts[service, row.upstream]) / row.weight
+        for row in lab.tables[service].rows
+        if row.state == "active" and row.weight > 0
+    ]
+    mean = sum(values) / len(values)
+    return max(values) / mean if mean else None
+
+
+def _measure_service(
+    lab: world.World, service: str, samples: list[float], duration_s: float
+) -> ServiceMeasures:
+    source = lab.sources[service]
+    latencies = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
+    for invoked_s, latency_s in source.latencies_s:
+        if invoked_s >= WARM_UP_S:
+            latencies.record_value(max(1, int(latency_s * 1_000_000)))
+    opened = _compare_hosts(lab, service, lambda host: float(host.accepted))
+    hosts = [host for host in lab.fleet.hosts.values() if host.service == service]
+    return ServiceMeasures(
+        service,
+        source.tally(),
+        len(source.latencies_s),
+        sum(samples) / len(samples) if samples else 0.0,
+        opened or 0.0,
+        latencies.get_value_at_percentile(50) / 1_000,
+        latencies.get_value_at_percentile(99) / 1_000,
+        max(host.busy_s / (duration_s * host.slots) for host in hosts),
+    )
--- /dev/null
+++ b/src/pistachioshed/lab/policies.py
@@ -0,0 +1,28 @@
+"""The kinds of balancer that experiments compare."""
+
+import typing
+
+from pistachioshed.core import settings
+from pistachioshed.lab import baselines, fleet
+
+
+def build_modulo(node_settings: settings.Settings, seed: int) -> fleet.NodeLike:
+    """Return a balancer that hashes modulo the pool, without tracking."""
+    return baselines.Baseline(node_settings, baselines.choose_by_modulo, False)
+
+
+def build_consistent(node_settings: settings.Settings, seed: int) -> fleet.NodeLike:
+    """Return a balancer with consistent hashing, without tracking."""
+    return baselines.Baseline(node_settings, baselines.choose_by_rendezvous, False)
+
+
+def build_round_robin(node_settings: settings.Settings, seed: int) -> fleet.NodeLike:
+    """Return a balancer that takes turns and tracks the flows that it saw."""
+    return baselines.Baseline(node_settings, baselines.choose_in_turn, True)
+
+
+POLICIES: typing.Final[dict[str, fleet.BuildNode]] = {
+    "modulo": build_modulo,
+    "consistent": build_consistent,
+    "round robin": build_round_robin,
+}
--- /dev/null
+++ b/src/pistachioshed/lab/world.py
@@ -0,0 +1,148 @@
+"""One experiment: a deployment under load, with the changes that scenarios make."""
+
+import typing
+from collections import abc
+
+from pistachioshed.core import events, tables
+from pistachioshed.lab import callers, deployments, fleet, history, hosts
+
+PROBE_INTERVAL_S: typing.Final = 1.0
+PROBE_LAG_S: typing.Final = 0.5
+
+
+class World:
+    """The state of one experiment and the changes that can be made to it."""
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        build: fleet.BuildNode,
+        seed: int,
+    ) -> None:
+        self.deployment = deployment
+        self.build = build
+        self.seed = seed
+        self.clock = fleet.Clock()
+        self.fleet = fleet.Fleet(self.clock, seed, deployment.delays)
+        self.tables: dict[str, tables.Table] = {}
+        self.sources: dict[str, callers.Source] = {}
+        self.lying: set[tuple[str, str]] = set()
+        self.started_nodes = 0
+        for index, service in enumerate(deployment.services):
+            self._add_service(service, index)
+        for vm in deployments.build_vms(deployment):
+            self.add_node(vm)
+        self.clock.schedule(PROBE_INTERVAL_S, self._probe_hosts)
+
+    def add_node(self, vm: events.Vm) -> None:
+        """Start a balancer."""
+        self.started_nodes += 1
+        self.fleet.add_node(
+            vm, self.build, self.seed * 1_000 + self.started_nodes, self.tables.values()
+        )
+
+    def restart_node(self, name: str, pause_s: float) -> None:
+        """Stop a balancer gracefully and start it anew after it finished."""
+        vm = self.fleet.vms[name]
+        self.fleet.stop_node(name)
+        self._restart_when_finished(vm, pause_s)
+
+    def edit_table(
+        self, service: str, edit: tables.Edit, spread_s: float = 1.0
+    ) -> tables.Table:
+        """Apply an edit; balancers get it at random times within a spread."""
+        table = tables.apply_edit(self.tables[service], edit)
+        self.tables[service] = table
+        now = self.clock.now
+        self.fleet.records.append(history.EditAccepted(service, table.version, now))
+        for name in list(self.fleet.nodes):
+            delay_s = self.fleet.random.random() * spread_s
+            self.clock.schedule(delay_s, self._make_delivery(name, table))
+        return table
+
+    def set_weight(self, service: str, upstream: str, weight: float) -> None:
+        """Edit a row's weight."""
+        self._edit_row(service, upstream, weight=weight)
+
+    def drain_row(self, service: str, upstream: str) -> None:
+        """Edit a row's state to drain."""
+        self._edit_row(service, upstream, state="drain")
+        self.fleet.records.append(
+            history.UpstreamLeaving(service, upstream, self.clock.now)
+        )
+
+    def get_host(self, service: str, number: int) -> hosts.Host:
+        """Return a host by its number, from 1."""
+        return self.fleet.hosts[service, f"{service}-{number}"]
+
+    def start_load(self, end_s: float) -> None:
+        """Start the callers of every service, until a time."""
+        for source in self.sources.values():
+            source.run_until(end_s)
+
+    def _edit_row(self, service: str, upstream: str, **columns: typing.Any) -> None:
+        rows = {row.upstream: row for row in self.tables[service].rows}
+        edit_id = f"edit-{self.tables[service].version + 1}"
+        row = rows[upstream]._replace(**columns)
+        self.edit_table(service, tables.Edit(edit_id, (row,)))
+
+    def _add_service(self, service: deployments.Service, index: int) -> None:
+        table = deployments.build_table(self.deployment, service, index)
+        self.tables[service.name] = table
+        for row in table.rows:
+            self.fleet.hosts[service.name, row.upstream] = hosts.Host(
+                service.name,
+                row.upstream,
+                row.slots,
+                1.0,
+                self.clock.schedule,
+                self.fleet.answer_request,
+                self._make_recorder(service.name, row.upstream),
+            )
+        self.sources[service.name] = callers.Source(
+            self.clock, self.fleet, service.load, self.seed
+        )
+
+    def _make_recorder(
+        self, service: str, upstream: str
+    ) -> abc.Callable[[hosts.Request], None]:
+        def record(request: hosts.Request) -> None:
+            self.fleet.records.append(
+                history.Execution(service, upstream, request.request, self.clock.now)
+            )
+
+        return record
+
+    def _make_delivery(self, name: str, table: tables.Table) -> fleet.Task:
+        def deliver() -> None:
+            if name in self.fleet.nodes:
+                self.fleet.deliver_event(name, events.TableReceived(table))
+
+        return deliver
+
+    def _restart_when_finished(self, vm: events.Vm, pause_s: float) -> None:
+        if vm.name in self.fleet.nodes:
+            self.clock.schedule(0.1, lambda: self._restart_when_finished(vm, pause_s))
+            return
+        self.clock.schedule(pause_s, lambda: self.add_node(vm))
+
+    def _probe_hosts(self) -> None:
+        for host in self.fleet.hosts.values():
+            honest = (host.service, host.name) not in self.lying
+            event = events.ProbeReported(
+                host.service,
+                host.name,
+                host.up or not honest,
+                host.draining and honest,
+                min(host.measure_load(), 1.0) if honest else 0.0,
+                0.001,
+            )
+            self.clock.schedule(PROBE_LAG_S, self._make_probe(event))
+        self.clock.schedule(PROBE_INTERVAL_S, self._probe_hosts)
+
+    def _make_probe(self, event: events.ProbeReported) -> fleet.Task:
+        def deliver() -> None:
+            for name in list(self.fleet.nodes):
+                self.fleet.deliver_event(name, event)
+
+        return deliver
