Add membership, replication, lifecycle and control messages

The data path needs owners, backups and the exceptions of other owners to decide where a packet goes.

--- /dev/null
+++ b/src/pistachioshed/core/channel.py
@@ -0,0 +1,181 @@
+"""What waits to be replicated to one peer, and the batch in flight to it."""
+
+import itertools
+import typing
+
+from pistachioshed.core import hashing, wire
+
+# A batch and its headers stay in one datagram below the smallest usual MTU.
+MAX_BATCH_BYTES: typing.Final = 1_100
+# Version, tag and msgpack headers of a batch without its names, rounded up.
+BATCH_OVERHEAD_BYTES: typing.Final = 40
+GROUP_OVERHEAD_BYTES: typing.Final = 4
+# About two and a half minutes of the default budget; what waits longer belongs to
+# flows that have mostly ended.
+MAX_QUEUED: typing.Final = 30_000
+
+Key = tuple[str, bytes]
+
+
+class Bulk(typing.NamedTuple):
+    """Flows of one service to send after the urgent ones.
+
+    `version` is the table version that becomes complete once all are sent, or 0.
+    """
+
+    service: str
+    version: int
+    flows: dict[bytes, None]
+
+
+class Flight(typing.NamedTuple):
+    """A batch that awaits its acknowledgement; `items` counts what it carries."""
+
+    batch: wire.Batch
+    items: int
+    sent_at: float
+
+
+class Content(typing.NamedTuple):
+    """The next flows of one service to send, and the removals that go along."""
+
+    service: str
+    flows: list[bytes]
+    removals: list[bytes]
+    complete: int
+
+
+class Channel:
+    """Queues towards one peer; one batch is in flight at a time.
+
+    With a single batch in flight batches are applied in order, so that a repeated old
+    batch can not undo a newer one.
+    """
+
+    def __init__(self) -> None:
+        self.urgent: dict[Key, None] = {}
+        self.bulks: list[Bulk] = []
+        self.removals: dict[Key, None] = {}
+        self.marked: dict[str, int] = {}
+        self.flight: Flight | None = None
+        self.sent_at = float("-inf")
+
+    @property
+    def queued(self) -> int:
+        """The number of exceptions, removals and marks that wait."""
+        bulked = sum(len(bulk.flows) + (bulk.version > 0) for bulk in self.bulks)
+        return len(self.urgent) + bulked + len(self.removals)
+
+    @property
+    def pending(self) -> int:
+        """The number of items that the peer has not acknowledged."""
+        return self.queued + (self.flight.items if self.flight else 0)
+
+    def add(self, service: str, flow: bytes) -> None:
+        """Queue a new or changed exception."""
+        self.discard(service, flow)
+        self._cancel_removal(service, flow)
+        self.urgent[service, flow] = None
+
+    def add_moved(self, service: str, flow: bytes) -> None:
+        """Queue an exception whose backup changed.
+
+        It goes after new exceptions and before those of newer tables.
+        """
+        for bulk in self.bulks:
+            if bulk.service == service and bulk.version == 0:
+                break
+        else:
+            bulk = Bulk(service, 0, {})
+            self.bulks.insert(0, bulk)
+        bulk.flows[flow] = None
+        self._cancel_removal(service, flow)
+
+    def discard(self, service: str, flow: bytes) -> None:
+        """Drop a queued exception."""
+        self.urgent.pop((service, flow), None)
+        for bulk in self.bulks:
+            if bulk.service == service:
+                bulk.flows.pop(flow, None)
+
+    def close(self, service: str, version: int) -> None:
+        """Queue the mark of a table version behind all exceptions queued so far."""
+        flows = {flow: None for name, flow in self.urgent if name == service}
+        for flow in flows:
+            del self.urgent[service, flow]
+        self.bulks.append(Bulk(service, version, flows))
+        self.marked[service] = version
+
+    def take(self, upstreams: typing.Callable[[Key], str], limit: int) -> Content:
+        """Remove and return the content of the next batch.
+
+        Parameters
+        ----------
+        upstreams : callable
+            Returns the upstream of a queued exception, "" if it was withdrawn.
+        limit : int
+            The bytes that the batch may have.
+        """
+        service = self._choose_service()
+        room = limit - BATCH_OVERHEAD_BYTES - len(service.encode())
+        flows: list[bytes] = []
+        groups: set[str] = set()
+
+        def fits(flow: bytes) -> bool:
+            nonlocal room
+            upstream = upstreams((service, flow))
+            cost = wire.FINGERPRINT_BYTES if upstream else 0
+            if upstream and upstream not in groups:
+                cost += GROUP_OVERHEAD_BYTES + len(upstream.encode())
+            if cost > room and flows:
+                return False
+            groups.add(upstream)
+            room -= cost
+            flows.append(flow)
+            return True
+
+        complete = 0
+        all_urgent = all(fits(flow) for name, flow in self.urgent if name == service)
+        for flow in flows:
+            del self.urgent[service, flow]
+        removals = []
+        for name, mark in self.removals:
+            if name == service and room >= wire.FINGERPRINT_BYTES:
+                room -= wire.FINGERPRINT_BYTES
+                removals.append(mark)
+        for mark in removals:
+            del self.removals[service, mark]
+        if all_urgent:
+            complete = self._take_bulk(service, fits)
+        return Content(service, flows, removals, complete)
+
+    def _cancel_removal(self, service: str, flow: bytes) -> None:
+        if self.removals:
+            self.removals.pop((service, fingerprint_flow(service, flow)), None)
+
+    def _choose_service(self) -> str:
+        for service, _ in self.urgent:
+            return service
+        for service, _ in self.removals:
+            return service
+        return self.bulks[0].service
+
+    def _take_bulk(self, service: str, fits: typing.Callable[[bytes], bool]) -> int:
+        """Take from the first bulk of a service; return the version it completes."""
+        for bulk in self.bulks:
+            if bulk.service != service:
+                continue
+            taken = list(itertools.takewhile(fits, bulk.flows))
+            for flow in taken:
+                del bulk.flows[flow]
+            if bulk.flows:
+                return 0
+            self.bulks.remove(bulk)
+            return bulk.version
+        return 0
+
+
+def fingerprint_flow(service: str, flow: bytes) -> bytes:
+    """Return the truncated fingerprint that batches carry for a flow."""
+    whole = hashing.fingerprint_flow(service, flow).to_bytes(8, "big")
+    return whole[: wire.FINGERPRINT_BYTES]
--- /dev/null
+++ b/src/pistachioshed/core/inbox.py
@@ -0,0 +1,151 @@
+"""Exceptions received from other owners."""
+
+import typing
+from collections import abc
+
+from pistachioshed.core import wire
+
+# About 15 MB. With 8 equal balancers this node is the backup of a seventh of every
+# other one's exceptions, that is of 100,000 when each holds that many.
+MAX_RECEIVED: typing.Final = 100_000
+
+
+class Source:
+    """One run of an owner: its last batch, its marks and when it stopped owning."""
+
+    __slots__ = ("bindings", "complete", "gone_at", "number", "session")
+
+    def __init__(self, session: int, gone_at: float | None) -> None:
+        self.session = session
+        self.number = -1
+        self.complete: dict[str, int] = {}
+        self.gone_at = gone_at
+        self.bindings: dict[str, Binding] = {}
+
+    def bind(self, upstream: str) -> "Binding":
+        """Return the binding to an upstream; one object serves all of its flows."""
+        binding = self.bindings.get(upstream)
+        if binding is None:
+            binding = self.bindings[upstream] = Binding(upstream, self)
+        return binding
+
+
+class Binding(typing.NamedTuple):
+    """The upstream of a received exception and the owner's run that sent it."""
+
+    upstream: str
+    source: Source
+
+
+class Inbox:
+    """Received exceptions by service and truncated fingerprint."""
+
+    def __init__(self, idle_s: float) -> None:
+        self.idle_s = idle_s
+        self.received: dict[str, dict[bytes, Binding]] = {}
+        self.sources: dict[str, Source] = {}
+        self.retired: list[Source] = []
+        self.owners: frozenset[str] = frozenset()
+        self.count = 0
+        self.refused = 0
+
+    def find(self, service: str, mark: bytes) -> str | None:
+        """Return the upstream of a received exception."""
+        binding = self.received.get(service, {}).get(mark)
+        return binding.upstream if binding is not None else None
+
+    def complete_through(self, service: str, owner: str) -> int:
+        """Return the newest version that an owner marked complete here, or 0."""
+        source = self.sources.get(owner)
+        return source.complete.get(service, 0) if source is not None else 0
+
+    def apply(self, owner: str, batch: wire.Batch, now: float) -> None:
+        """Take a batch unless a newer one of the same run was taken before."""
+        source = self._get_source(owner, batch.session, now)
+        if source.gone_at is not None:
+            source.gone_at = now
+        if batch.number <= source.number:
+            return
+        source.number = batch.number
+        flows = self.received.setdefault(batch.service, {})
+        for mark in _split(batch.removals):
+            binding = flows.get(mark)
+            # The flow may have moved to another owner that replicates it by now.
+            if binding is not None and binding.source is source:
+                del flows[mark]
+                self.count -= 1
+        for upstream, marks in batch.puts.items():
+            binding = source.bind(upstream)
+            for mark in _split(marks):
+                if mark not in flows:
+                    if self.count >= MAX_RECEIVED:
+                        self.refused += 1
+                        continue
+                    self.count += 1
+                flows[mark] = binding
+        if batch.complete:
+            self._mark(source, batch.service, batch.complete)
+
+    def complete(
+        self, owner: str, session: int, versions: abc.Mapping[str, int], now: float
+    ) -> None:
+        """Take the marks that an owner sent at the end of a handover."""
+        source = self._get_source(owner, session, now)
+        for service, version in versions.items():
+            self._mark(source, service, version)
+
+    def set_owners(self, owners: abc.Iterable[str], now: float) -> None:
+        """Take the names of the active owners."""
+        self.owners = frozenset(owners)
+        for owner, source in self.sources.items():
+            if owner in self.owners:
+                source.gone_at = None
+            elif source.gone_at is None:
+                source.gone_at = now
+
+    def expire(self, now: float) -> None:
+        """Drop exceptions of owners gone for longer than a flow may be idle.
+
+        By then every flow still in use has reached its new owner, which bound it.
+        """
+        expired = [
+            owner
+            for owner, source in self.sources.items()
+            if self._is_expired(source, now)
+        ]
+        dropped = {id(self.sources[owner]) for owner in expired}
+        dropped |= {id(run) for run in self.retired if self._is_expired(run, now)}
+        if not dropped:
+            return
+        for owner in expired:
+            del self.sources[owner]
+        self.retired = [run for run in self.retired if id(run) not in dropped]
+        for service, flows in self.received.items():
+            self.received[service] = {
+                mark: binding
+                for mark, binding in flows.items()
+                if id(binding.source) not in dropped
+            }
+        self.count = sum(len(flows) for flows in self.received.values())
+
+    def _is_expired(self, source: Source, now: float) -> bool:
+        return source.gone_at is not None and now >= source.gone_at + self.idle_s
+
+    def _get_source(self, owner: str, session: int, now: float) -> Source:
+        source = self.sources.get(owner)
+        if source is not None and source.session == session:
+            return source
+        if source is not None:
+            source.gone_at = now
+            self.retired.append(source)
+        gone_at = None if owner in self.owners else now
+        self.sources[owner] = source = Source(session, gone_at)
+        return source
+
+    def _mark(self, source: Source, service: str, version: int) -> None:
+        source.complete[service] = max(source.complete.get(service, 0), version)
+
+
+def _split(marks: bytes) -> abc.Iterator[bytes]:
+    size = wire.FINGERPRINT_BYTES
+    return (marks[at : at + size] for at in range(0, len(marks) - size + 1, size))
--- /dev/null
+++ b/src/pistachioshed/core/joins.py
@@ -0,0 +1,156 @@
+"""Handovers: those that this node gives to joining members, and those it asks for."""
+
+import typing
+from collections import abc
+
+from pistachioshed.core import channel, hashing, settings, wire
+
+REQUEST_INTERVAL_S: typing.Final = 0.5
+
+
+class Session:
+    """A handover to one joining member.
+
+    `flows` holds what was queued for it, so that nothing is sent again once the
+    member is active.
+    """
+
+    __slots__ = ("asked_at", "choice", "flows", "is_done", "number", "started_at")
+
+    def __init__(self, number: int, choice: hashing.Choice, now: float) -> None:
+        self.number = number
+        self.choice = choice
+        self.started_at = now
+        self.asked_at = now
+        self.flows: set[channel.Key] = set()
+        self.is_done = False
+
+
+class Joiners:
+    """Handover sessions in both directions."""
+
+    def __init__(self, settings: settings.Settings) -> None:
+        self.settings = settings
+        self.sessions: dict[str, Session] = {}
+        self.taken: dict[str, set[channel.Key]] = {}
+        self.owners: frozenset[str] = frozenset()
+        self.own_number = 0
+        self.done: set[str] = set()
+        self.next_request_at = 0.0
+
+    def note_request(
+        self, sender: str, request: wire.HandoverRequest, now: float
+    ) -> bool:
+        """Take a request; return True if it starts a handover.
+
+        A request from an owner is ignored: either the member has joined since, or it
+        restarted and the membership has yet to learn of it; then it asks again.
+        """
+        if sender in self.owners:
+            return False
+        session = self.sessions.get(sender)
+        if session is not None and session.number == request.session:
+            session.asked_at = now
+            return False
+        choice = hashing.Choice(sender, request.capacity / 1_000)
+        self.sessions[sender] = Session(request.session, choice, now)
+        return True
+
+    def find_owners(
+        self, service: str, flow: bytes, choices: abc.Sequence[hashing.Choice]
+    ) -> list[str]:
+        """Return the joining members that would own a flow once active."""
+        found = []
+        for name, session in self.sessions.items():
+            if hashing.rank_choices(flow, [*choices, session.choice])[0] == name:
+                session.flows.add((service, flow))
+                found.append(name)
+        return found
+
+    def find_new_owners(
+        self, service: str, flow: bytes, choices: abc.Sequence[hashing.Choice]
+    ) -> list[str]:
+        """Return the joining members that the flow was not queued for before."""
+        key = (service, flow)
+        known = {name for name, held in self.sessions.items() if key in held.flows}
+        found = self.find_owners(service, flow, choices)
+        return [name for name in found if name not in known]
+
+    def forget_flow(self, service: str, flow: bytes) -> list[str]:
+        """Forget a flow; return the joining members that it was queued for."""
+        self.forget_taken(service, flow)
+        key = (service, flow)
+        names = [name for name, held in self.sessions.items() if key in held.flows]
+        for name in names:
+            self.sessions[name].flows.discard(key)
+        return names
+
+    def forget_taken(self, service: str, flow: bytes) -> None:
+        """Take note that a flow changed after its handover."""
+        for flows in self.taken.values():
+            flows.discard((service, flow))
+
+    def has_taken(self, name: str, service: str, flow: bytes) -> bool:
+        """Tell whether a member that became active was handed this flow."""
+        return (service, flow) in self.taken.get(name, ())
+
+    def is_due(self, name: str, now: float) -> bool:
+        """Tell whether a handover to a peer is in progress and in time."""
+        session = self.sessions.get(name)
+        return (
+            session is not None
+            and now <= session.started_at + self.settings.join_timeout_s
+        )
+
+    def finish(self, name: str, repeat: bool) -> int:
+        """Note that all was sent; return the session to confirm, or 0."""
+        session = self.sessions.get(name)
+        if session is None or (session.is_done and not repeat):
+            return 0
+        session.is_done = True
+        return session.number
+
+    def set_owners(self, owners: abc.Iterable[str]) -> None:
+        """Take the active owners; sessions of those that joined end."""
+        self.owners = frozenset(owners)
+        for name in self.owners & self.sessions.keys():
+            self.taken[name] = self.sessions.pop(name).flows
+
+    def expire(self, now: float) -> list[str]:
+        """Drop sessions of members that neither ask nor became active."""
+        limit = now - 2 * self.settings.join_timeout_s
+        expired = [n for n, held in self.sessions.items() if held.asked_at < limit]
+        for name in expired:
+            del self.sessions[name]
+        return expired
+
+    def begin(self, now: float) -> None:
+        """Start to ask for handovers to this node."""
+        self.own_number = int(now * 1_000) % 2**32 + 1
+        self.done.clear()
+
+    def end(self) -> None:
+        """Stop to ask."""
+        self.own_number = 0
+
+    def request(self, owners: abc.Iterable[str], now: float) -> list[wire.Outgoing]:
+        """Return the requests that are due to owners that have not finished."""
+        if not self.own_number or now < self.next_request_at:
+            return []
+        self.next_request_at = now + REQUEST_INTERVAL_S
+        capacity = max(1, round(self.settings.capacity * 1_000))
+        message = wire.HandoverRequest(self.own_number, capacity)
+        return [
+            wire.Outgoing(name, message) for name in sorted(set(owners) - self.done)
+        ]
+
+    def note_done(self, sender: str, message: wire.HandoverDone) -> bool:
+        """Take the end of a handover to this node; return False for an old one."""
+        if not self.own_number or message.session != self.own_number:
+            return False
+        self.done.add(sender)
+        return True
+
+    def is_done(self, owners: abc.Set[str]) -> bool:
+        """Tell whether all owners finished."""
+        return bool(self.own_number) and owners <= self.done
--- /dev/null
+++ b/src/pistachioshed/core/lifecycle.py
@@ -0,0 +1,161 @@
+"""Lifecycle of a balancer: joining, active, leaving, left."""
+
+import typing
+
+import automat
+
+from pistachioshed.core import membership, replication, settings
+
+# Two ticks and a probe interval, in which the announcement reaches the members, before
+# this node may stop to forward what they still relay.
+ANNOUNCE_S: typing.Final = 0.7
+# The announcement of `left` is sent on the next two ticks.
+LINGER_S: typing.Final = 0.3
+
+
+class Progress:
+    """State that the transitions share."""
+
+    def __init__(
+        self,
+        settings: settings.Settings,
+        membership: membership.Membership,
+        replicator: replication.Replicator,
+    ) -> None:
+        self.settings = settings
+        self.membership = membership
+        self.replicator = replicator
+        self.state = "joining"
+        self.started_at: float | None = None
+        self.stopped_at = 0.0
+        self.announced_at: float | None = None
+        self.left_at = 0.0
+
+
+class Inputs(typing.Protocol):
+    """Inputs of the lifecycle machine."""
+
+    def activate(self, now: float) -> None:
+        """Become an owner."""
+
+    def stop(self, now: float) -> None:
+        """Begin a planned leave."""
+
+    def depart(self, now: float) -> None:
+        """End the leave."""
+
+
+def _build_machine() -> automat.TypeMachine[Inputs, Progress]:
+    builder = automat.TypeMachineBuilder(Inputs, Progress)
+    joining = builder.state("joining")
+    active = builder.state("active")
+    leaving = builder.state("leaving")
+    left = builder.state("left")
+
+    @joining.upon(Inputs.activate).to(active)
+    def enter_active(_: Inputs, progress: Progress, now: float) -> None:
+        progress.state = "active"
+        progress.replicator.end_handover()
+        progress.membership.announce("active", now)
+
+    def enter_leaving(_: Inputs, progress: Progress, now: float) -> None:
+        progress.state = "leaving"
+        progress.stopped_at = now
+        progress.replicator.end_handover()
+        progress.replicator.begin_flush(now)
+
+    joining.upon(Inputs.stop).to(leaving)(enter_leaving)
+    active.upon(Inputs.stop).to(leaving)(enter_leaving)
+
+    @leaving.upon(Inputs.depart).to(left)
+    def enter_left(_: Inputs, progress: Progress, now: float) -> None:
+        progress.state = "left"
+        progress.left_at = now
+        progress.membership.announce("left", now)
+
+    leaving.upon(Inputs.stop).loop().returns(None)
+    left.upon(Inputs.stop).loop().returns(None)
+    return builder.build()
+
+
+_MACHINE: typing.Final = _build_machine()
+
+
+class Lifecycle:
+    """Drives the machine from the state of the membership and the replication.
+
+    Parameters
+    ----------
+    settings : settings.Settings
+        `join_timeout_s` and `leave_timeout_s` bound the planned changes.
+    membership : membership.Membership
+        Spreads each new state.
+    replicator : replication.Replicator
+        Hands over and flushes exceptions.
+    """
+
+    def __init__(
+        self,
+        settings: settings.Settings,
+        membership: membership.Membership,
+        replicator: replication.Replicator,
+    ) -> None:
+        self.progress = Progress(settings, membership, replicator)
+        self.machine = _MACHINE(self.progress)
+        self.finished = False
+
+    @property
+    def state(self) -> str:
+        """The current state's name."""
+        return self.progress.state
+
+    def request_stop(self, now: float) -> None:
+        """Begin a graceful stop; repeated requests change nothing."""
+        self.machine.stop(now)
+
+    def tick(self, now: float, table_known: bool, open_flows: int) -> None:
+        """Make the transitions that are due.
+
+        Parameters
+        ----------
+        now : float
+            The time in seconds.
+        table_known : bool
+            Whether a table of every service is in force.
+        open_flows : int
+            The flows that this node still forwards.
+        """
+        match self.progress.state:
+            case "joining":
+                self._tick_joining(now, table_known)
+            case "leaving":
+                self._tick_leaving(now, open_flows)
+            case "left":
+                self.finished = now >= self.progress.left_at + LINGER_S
+
+    def _tick_joining(self, now: float, table_known: bool) -> None:
+        progress = self.progress
+        if progress.started_at is None:
+            progress.started_at = now
+            progress.replicator.begin_handover(now)
+        is_late = now >= progress.started_at + progress.settings.join_timeout_s
+        is_handed_over = (
+            progress.membership.has_probed(now) and progress.replicator.is_handed_over()
+        )
+        if table_known and (is_late or is_handed_over):
+            self.machine.activate(now)
+
+    def _tick_leaving(self, now: float, open_flows: int) -> None:
+        progress = self.progress
+        flush_limit = progress.stopped_at + progress.settings.join_timeout_s
+        if progress.announced_at is None:
+            # Announced only after the flush: the successors then have the exceptions
+            # before the first packet reaches them.
+            if progress.replicator.is_flushed() or now >= flush_limit:
+                progress.announced_at = now
+                progress.membership.announce("leaving", now)
+            return
+        is_late = now >= progress.stopped_at + progress.settings.leave_timeout_s
+        is_spread = now >= progress.announced_at + ANNOUNCE_S
+        if is_late or (is_spread and open_flows == 0):
+            self.machine.depart(now)
--- /dev/null
+++ b/src/pistachioshed/core/probes.py
@@ -0,0 +1,82 @@
+"""The probe in progress, the order of probes, and probes made for other members."""
+
+import random
+import typing
+from collections import abc
+
+RELAY_MEMORY_S: typing.Final = 1.0
+
+
+class Relay(typing.NamedTuple):
+    """A ping sent for another member, and how to pass the answer on."""
+
+    origin: str
+    number: int
+    expires_at: float
+
+
+class Prober:
+    """Chooses whom to ping and matches answers to pings."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.order: list[str] = []
+        self.last_number = 0
+        self.target: str | None = None
+        self.number = 0
+        self.sent_at = 0.0
+        self.helpers: tuple[str, ...] = ()
+        self.relays: dict[int, Relay] = {}
+
+    def draw_number(self) -> int:
+        """Return a new ping number; 0 is for pings whose answer is not awaited."""
+        self.last_number += 1
+        return self.last_number
+
+    def choose_target(self, live: abc.Collection[str]) -> str | None:
+        """Return the next member to ping, each once per shuffled round."""
+        while self.order:
+            name = self.order.pop()
+            if name in live:
+                return name
+        self.order = sorted(live)
+        self.rng.shuffle(self.order)
+        return self.order.pop() if self.order else None
+
+    def start(self, target: str, now: float) -> int:
+        """Begin to probe a member and return the number of its ping."""
+        self.target = target
+        self.number = self.draw_number()
+        self.sent_at = now
+        self.helpers = ()
+        return self.number
+
+    def choose_helpers(self, live: abc.Iterable[str], count: int) -> tuple[str, ...]:
+        """Return the members to ask for an indirect probe."""
+        others = sorted(name for name in live if name != self.target)
+        self.helpers = tuple(self.rng.sample(others, min(count, len(others))))
+        return self.helpers
+
+    def stop(self) -> None:
+        """Await no answer any more."""
+        self.target = None
+
+    def note_ack(self, sender: str, number: int) -> None:
+        """Take an answer; only the target and the helpers asked can give it."""
+        if number == self.number and (sender == self.target or sender in self.helpers):
+            self.target = None
+
+    def add_relay(self, origin: str, number: int, now: float) -> int:
+        """Return the number of a ping to send on behalf of another member."""
+        own_number = self.draw_number()
+        self.relays[own_number] = Relay(origin, number, now + RELAY_MEMORY_S)
+        return own_number
+
+    def take_relay(self, number: int) -> Relay | None:
+        """Return and forget the member that awaits an answer."""
+        return self.relays.pop(number, None)
+
+    def expire_relays(self, now: float) -> None:
+        """Forget members whose probe got no answer."""
+        for number in [n for n, relay in self.relays.items() if relay.expires_at < now]:
+            del self.relays[number]
