--- a/src/pistachioshed/core/membership.py
+++ b/src/pistachioshed/core/membership.py
@@ -9,11 +9,6 @@
 # A fifth of a second is a hundred round trips between zones; it leaves the rest of the
 # ping interval to the indirect probes.
 ACK_TIMEOUT_S: typing.Final = 0.2
-FIRST_ROUND_PINGS: typing.Final = 8
-FIRST_ROUND_S: typing.Final = 1.0
-# Bounds the traffic to absent VMs when a whole zone is away; at 8 nodes it reaches
-# every VM of a lost zone in each round.
-REJOIN_PINGS: typing.Final = 4
 # Ticks come every 0.1 s; after a longer gap this node was paused itself, so that
 # missed answers and elapsed suspicions say nothing about the others.
 PAUSE_S: typing.Final = 1.0
@@ -57,46 +52,34 @@
         self.rng = random.Random(seed)
         self.view = View(0, ())
         self.changed_at = 0.0
-        self.listed: dict[str, events.Vm] = {}
-        self.members: dict[str, records.Record] = {}
-        capacity = max(1, round(settings.capacity * 1_000))
-        self.own = wire.Claim(0, records.JOINING, records.ALIVE, capacity)
+        self.roster = records.Roster(settings)
         self.spreader = gossip.Spreader()
         self.prober = probes.Prober(self.rng)
-        self.first_round_at: float | None = None
+        self.rejoiner = probes.Rejoiner(self.rng, settings.rejoin_interval_s)
         self.next_probe_at = 0.0
-        self.next_rejoin_at = 0.0
-        self.rejoin_order: list[str] = []
         self.last_heard_clock: float | None = None
         self.last_sync_at = -SYNC_INTERVAL_S
         self.last_change_at = 0.0
 
     def update_vms(self, vms: abc.Iterable[events.Vm], now: float) -> None:
         """Take the VM list; it bounds who may join and removes no live member."""
-        self.listed = {vm.name: vm for vm in vms}
+        self.roster.listed = {vm.name: vm for vm in vms}
         self._refresh_view(now)
 
     def knows(self, peer: str) -> bool:
         """Tell whether messages of a peer are accepted."""
-        if peer == self.settings.name:
-            return False
-        record = self.members.get(peer)
-        return (
-            peer in self.listed
-            or peer in self.settings.seeds
-            or (record is not None and record.is_live)
-        )
+        return self.roster.knows(peer)
 
     def has_probed(self, now: float) -> bool:
         """Tell whether the first probe round has ended, or there is nobody to probe."""
-        if self.first_round_at is None:
-            return bool(self.listed) and not self._list_candidates()
-        return now >= self.first_round_at + FIRST_ROUND_S
+        if self.rejoiner.first_round_at is None:
+            return bool(self.roster.listed) and not self.roster.list_absent()
+        return self.rejoiner.has_ended_round(now)
 
     def announce(self, state: str, now: float) -> None:
         """Set this node's lifecycle state and spread it."""
-        self.own = self.own._replace(state=records.STATES.index(state))
-        self._raise_incarnation(self.own.incarnation, now)
+        self.roster.own = self.roster.own._replace(state=records.STATES.index(state))
+        self._raise_incarnation(self.roster.own.incarnation, now)
 
     def handle(
         self, sender: str, message: wire.Message, now: float
@@ -114,7 +97,7 @@
         match message:
             case wire.Ping():
                 updates = self._pick_updates(sender, message.claim)
-                ack = wire.Ack(message.number, self.own, updates)
+                ack = wire.Ack(message.number, self.roster.own, updates)
                 out.append(wire.Outgoing(sender, ack))
                 if self._is_outdated(message.digest, now):
                     is_newcomer = True
@@ -122,8 +105,8 @@
                 self.prober.note_ack(sender, message.number)
                 relay = self.prober.take_relay(message.number)
                 if relay is not None:
-                    about = self._describe((sender,))
-                    passed_on = wire.Ack(relay.number, self.own, about)
+                    about = self.roster.describe((sender,))
+                    passed_on = wire.Ack(relay.number, self.roster.own, about)
                     out.append(wire.Outgoing(relay.origin, passed_on))
             case wire.PingRequest():
                 number = self.prober.add_relay(sender, message.number, now)
@@ -151,27 +134,21 @@
         if last is None or now - last <= PAUSE_S:
             return
         self.prober.stop()
-        for record in self.members.values():
+        for record in self.roster.members.values():
             if record.claim.condition == records.SUSPECT:
                 record.since = now
 
     def _expire(self, now: float) -> None:
-        forgotten = []
-        for name, record in self.members.items():
-            age = now - record.since
+        for name, record in self.roster.members.items():
             if (
                 record.claim.condition == records.SUSPECT
-                and age >= self.settings.suspicion_s
+                and now >= record.since + self.settings.suspicion_s
             ):
                 self._set(name, record.claim._replace(condition=records.DEAD), now)
-            elif not record.is_live and name not in self.listed and age > FORGET_S:
-                forgotten.append(name)
-        for name in forgotten:
-            del self.members[name]
-        self.spreader.drop(forgotten)
+        self.spreader.drop(self.roster.forget_absent(now, FORGET_S))
 
     def _probe(self, now: float) -> list[wire.Outgoing]:
-        live = self._list_live()
+        live = self.roster.list_live()
         out: list[wire.Outgoing] = []
         target = self.prober.target
         if target is not None and not self.prober.helpers:
@@ -180,7 +157,7 @@
                 for helper in self.prober.choose_helpers(live, count):
                     updates = self._pick_updates(helper)
                     request = wire.PingRequest(
-                        self.prober.number, target, self.own, updates
+                        self.prober.number, target, self.roster.own, updates
                     )
                     out.append(wire.Outgoing(helper, request))
         if now < self.next_probe_at:
@@ -193,7 +170,7 @@
         if target is not None:
             self._suspect(target, now)
         for name in live:
-            if self.members[name].probes_here:
+            if self.roster.members[name].probes_here:
                 out.append(self._build_ping(name, 0))
         chosen = self.prober.choose_target(live)
         if chosen is not None:
@@ -202,49 +179,19 @@
 
     def _suspect(self, target: str, now: float) -> None:
         self.prober.stop()
-        record = self.members.get(target)
+        record = self.roster.members.get(target)
         if record is not None and record.claim.condition == records.ALIVE:
             claim = record.claim._replace(condition=records.SUSPECT)
             self._set(target, claim, now)
             record.probes_here = True
 
     def _ping_absent(self, now: float) -> list[wire.Outgoing]:
-        if now < self.next_rejoin_at:
-            return []
-        absent = self._list_candidates()
-        if not absent:
-            return []
-        self.next_rejoin_at = now + self.settings.rejoin_interval_s
-        count = REJOIN_PINGS
-        if self.first_round_at is None:
-            self.first_round_at = now
-            count = FIRST_ROUND_PINGS
-        chosen: list[str] = []
-        while len(chosen) < min(count, len(absent)):
-            if not self.rejoin_order:
-                self.rejoin_order = sorted(absent.difference(chosen))
-                self.rng.shuffle(self.rejoin_order)
-            name = self.rejoin_order.pop()
-            if name in absent and name not in chosen:
-                chosen.append(name)
+        chosen = self.rejoiner.choose_targets(self.roster.list_absent(), now)
         return [self._build_ping(name, 0) for name in chosen]
 
-    def _list_candidates(self) -> set[str]:
-        """Return who may be a member and is not, other than those that left."""
-        allowed = self.listed.keys() | set(self.settings.seeds)
-        return {
-            name
-            for name in allowed - {self.settings.name}
-            if name not in self.members
-            or self.members[name].claim.condition == records.DEAD
-        }
-
-    def _list_live(self) -> list[str]:
-        return [name for name, record in self.members.items() if record.is_live]
-
     def _learn_sender(self, sender: str, claim: wire.Claim, now: float) -> bool:
         """Take a sender's own claim; return True if it lacks what this node knows."""
-        record = self.members.get(sender)
+        record = self.roster.members.get(sender)
         was_live = record is not None and record.is_live
         if not self._learn(sender, claim, now):
             return False
@@ -252,10 +199,10 @@
 
     def _learn(self, name: str, claim: wire.Claim, now: float) -> bool:
         if name == self.settings.name:
-            if records.contradicts(claim, self.own):
+            if records.contradicts(claim, self.roster.own):
                 self._raise_incarnation(claim.incarnation, now)
             return False
-        record = self.members.get(name)
+        record = self.roster.members.get(name)
         if record is None:
             if not self.knows(name):
                 return False
@@ -265,27 +212,27 @@
         return True
 
     def _set(self, name: str, claim: wire.Claim, now: float) -> None:
-        record = self.members.get(name)
+        record = self.roster.members.get(name)
         # A suspicion is only piggybacked: it changes no view by itself.
         at_once = claim.condition != records.SUSPECT
         if record is None:
-            self.members[name] = records.Record(claim, now)
+            self.roster.members[name] = records.Record(claim, now)
         else:
             record.claim = claim
             record.since = now
             record.probes_here = False
         self.last_change_at = now
-        self.spreader.add(name, len(self.members), at_once)
+        self.spreader.add(name, len(self.roster.members), at_once)
 
     def _raise_incarnation(self, above: int, now: float) -> None:
-        self.own = self.own._replace(incarnation=above + 1)
+        self.roster.own = self.roster.own._replace(incarnation=above + 1)
         self.last_change_at = now
-        self.spreader.add(self.settings.name, len(self.members), at_once=True)
+        self.spreader.add(self.settings.name, len(self.roster.members), at_once=True)
         self._refresh_view(now)
 
     def _build_ping(self, target: str, number: int) -> wire.Outgoing:
-        digest = records.compute_digest(self._list_claims())
-        ping = wire.Ping(number, digest, self.own, self._pick_updates(target))
+        digest = self.roster.compute_digest()
+        ping = wire.Ping(number, digest, self.roster.own, self._pick_updates(target))
         return wire.Outgoing(target, ping)
 
     def _pick_updates(
@@ -297,38 +244,25 @@
         of that in order to refute it.
         """
         names = self.spreader.take()
-        record = self.members.get(peer)
-        if record is not None and (
-            record.claim.condition != records.ALIVE
-            or (claim is not None and record.claim != claim)
-        ):
+        disagrees = claim is not None and self.roster.disagrees(peer, claim)
+        if disagrees or self.roster.doubts(peer):
             names = [peer, *(name for name in names if name != peer)]
-        return self._describe(names)
-
-    def _describe(self, names: abc.Iterable[str]) -> tuple[wire.Update, ...]:
-        return tuple(
-            wire.Update(name, self.members[name].claim)
-            for name in names
-            if name in self.members
-        )
-
-    def _list_claims(self) -> list[tuple[str, wire.Claim]]:
-        claims = [(name, record.claim) for name, record in self.members.items()]
-        claims.append((self.settings.name, self.own))
-        return claims
+        return self.roster.describe(names)
 
     def _is_outdated(self, digest: int, now: float) -> bool:
         return (
             now >= self.last_change_at + SYNC_QUIET_S
             and now >= self.last_sync_at + SYNC_INTERVAL_S
-            and digest != records.compute_digest(self._list_claims())
+            and digest != self.roster.compute_digest()
         )
 
     def _build_sync(self, peer: str, now: float) -> list[wire.Outgoing]:
         self.last_sync_at = now
-        updates = self._describe(name for name in self.members if name != peer)
+        updates = self.roster.describe(
+            name for name in self.roster.members if name != peer
+        )
         return [
-            wire.Outgoing(peer, wire.Gossip(self.own, updates[start:end]))
+            wire.Outgoing(peer, wire.Gossip(self.roster.own, updates[start:end]))
             for start in range(0, len(updates), SYNC_CHUNK)
             for end in [start + SYNC_CHUNK]
         ]
@@ -337,20 +271,14 @@
         names = self.spreader.take_urgent(first_round_only)
         if not names:
             return []
-        live = sorted(self._list_live())
+        live = sorted(self.roster.list_live())
         peers = self.rng.sample(live, min(gossip.FANOUT, len(live)))
-        updates = self._describe(names[:SYNC_CHUNK])
-        message = wire.Gossip(self.own, updates)
+        updates = self.roster.describe(names[:SYNC_CHUNK])
+        message = wire.Gossip(self.roster.own, updates)
         return [wire.Outgoing(peer, message) for peer in peers]
 
     def _refresh_view(self, now: float) -> None:
-        owners = {
-            name: record.claim
-            for name, record in self.members.items()
-            if record.is_owner
-        }
-        if self.own.state == records.ACTIVE:
-            owners[self.settings.name] = self.own
+        owners = self.roster.list_owners()
         members = tuple(
             Member(name, self._find_zone(name), owners[name].capacity / 1_000)
             for name in sorted(owners)
@@ -362,5 +290,5 @@
     def _find_zone(self, name: str) -> str:
         if name == self.settings.name:
             return self.settings.zone
-        vm = self.listed.get(name)
+        vm = self.roster.listed.get(name)
         return vm.zone if vm is not None else ""
--- a/src/pistachioshed/core/probes.py
+++ b/src/pistachioshed/core/probes.py
@@ -5,6 +5,11 @@
 from collections import abc
 
 RELAY_MEMORY_S: typing.Final = 1.0
+FIRST_ROUND_PINGS: typing.Final = 8
+FIRST_ROUND_S: typing.Final = 1.0
+# Bounds the traffic to absent VMs when a whole zone is away; at 8 nodes it reaches
+# every VM of a lost zone in each round.
+REJOIN_PINGS: typing.Final = 4
 
 
 class Relay(typing.NamedTuple):
@@ -80,3 +85,40 @@
         """Forget members whose probe got no answer."""
         for number in [n for n, relay in self.relays.items() if relay.expires_at < now]:
             del self.relays[number]
+
+
+class Rejoiner:
+    """Chooses which absent VMs to ping, so that they join or rejoin."""
+
+    def __init__(self, rng: random.Random, interval_s: float) -> None:
+        self.rng = rng
+        self.interval_s = interval_s
+        self.order: list[str] = []
+        self.first_round_at: float | None = None
+        self.next_at = 0.0
+
+    def choose_targets(self, absent: abc.Set[str], now: float) -> list[str]:
+        """Return the VMs to ping now, each once per shuffled round."""
+        if not absent or now < self.next_at:
+            return []
+        self.next_at = now + self.interval_s
+        count = REJOIN_PINGS
+        if self.first_round_at is None:
+            self.first_round_at = now
+            count = FIRST_ROUND_PINGS
+        chosen: list[str] = []
+        while len(chosen) < min(count, len(absent)):
+            if not self.order:
+                self.order = sorted(absent - set(chosen))
+                self.rng.shuffle(self.order)
+            name = self.order.pop()
+            if name in absent and name not in chosen:
+                chosen.append(name)
+        return chosen
+
+    def has_ended_round(self, now: float) -> bool:
+        """Tell whether the VMs of the first round had time to answer."""
+        return (
+            self.first_round_at is not None
+            and now >= self.first_round_at + FIRST_ROUND_S
+        )
--- a/src/pistachioshed/core/records.py
+++ b/src/pistachioshed/core/records.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from pistachioshed.core import wire
+from pistachioshed.core import events, settings, wire
 
 STATES: typing.Final = ("joining", "active", "leaving", "left")
 JOINING, ACTIVE, LEAVING, LEFT = range(4)
@@ -59,14 +59,100 @@
     return claim != own
 
 
-def compute_digest(claims: abc.Iterable[tuple[str, wire.Claim]]) -> int:
-    """Return a 32-bit sum of live members that does not depend on their order.
+class Roster:
+    """The claim of this node, its records of the others, and the VM list.
 
-    Suspicion is left out: it changes often and settles by itself.
+    Parameters
+    ----------
+    settings : settings.Settings
+        Names this node and its seeds.
     """
-    digest = 0
-    for name, claim in claims:
-        if claim.condition != DEAD and claim.state != LEFT:
-            text = f"{name}/{claim.incarnation}/{claim.state}"
-            digest ^= xxhash.xxh32_intdigest(text.encode())
-    return digest
+
+    def __init__(self, settings: settings.Settings) -> None:
+        self.name = settings.name
+        self.seeds = frozenset(settings.seeds)
+        self.listed: dict[str, events.Vm] = {}
+        self.members: dict[str, Record] = {}
+        capacity = max(1, round(settings.capacity * 1_000))
+        self.own = wire.Claim(0, JOINING, ALIVE, capacity)
+
+    def knows(self, peer: str) -> bool:
+        """Tell whether a peer may be a member, or is one that is still live."""
+        if peer == self.name:
+            return False
+        record = self.members.get(peer)
+        return (
+            peer in self.listed
+            or peer in self.seeds
+            or (record is not None and record.is_live)
+        )
+
+    def list_live(self) -> list[str]:
+        """Return the members to probe and to gossip with."""
+        return [name for name, record in self.members.items() if record.is_live]
+
+    def list_absent(self) -> set[str]:
+        """Return who may be a member and is not, other than those that left."""
+        return {
+            name
+            for name in (self.listed.keys() | self.seeds) - {self.name}
+            if name not in self.members or self.members[name].claim.condition == DEAD
+        }
+
+    def list_owners(self) -> dict[str, wire.Claim]:
+        """Return the claims of the active members, this node included."""
+        owners = {
+            name: record.claim
+            for name, record in self.members.items()
+            if record.is_owner
+        }
+        if self.own.state == ACTIVE:
+            owners[self.name] = self.own
+        return owners
+
+    def describe(self, names: abc.Iterable[str]) -> tuple[wire.Update, ...]:
+        """Return updates about other members."""
+        return tuple(
+            wire.Update(name, self.members[name].claim)
+            for name in names
+            if name in self.members
+        )
+
+    def disagrees(self, peer: str, claim: wire.Claim) -> bool:
+        """Tell whether a peer makes another claim than the one held of it."""
+        record = self.members.get(peer)
+        return record is not None and record.claim != claim
+
+    def doubts(self, peer: str) -> bool:
+        """Tell whether a peer is held suspect or dead."""
+        record = self.members.get(peer)
+        return record is not None and record.claim.condition != ALIVE
+
+    def forget_absent(self, now: float, age_s: float) -> list[str]:
+        """Drop and return members gone for long that the VM list no longer has."""
+        forgotten = [
+            name
+            for name, record in self.members.items()
+            if not record.is_live
+            and name not in self.listed
+            and now >= record.since + age_s
+        ]
+        for name in forgotten:
+            del self.members[name]
+        return forgotten
+
+    def compute_digest(self) -> int:
+        """Return a 32-bit sum of the live members that does not depend on order.
+
+        Suspicion is left out: it changes often and settles by itself.
+        """
+        digest = _hash_claim(self.name, self.own)
+        for name, record in self.members.items():
+            if record.is_live:
+                digest ^= _hash_claim(name, record.claim)
+        return digest
+
+
+def _hash_claim(name: str, claim: wire.Claim) -> int:
+    text = f"{name}/{claim.incarnation}/{claim.state}"
+    return xxhash.xxh32_intdigest(text.encode())
--- a/src/pistachioshed/core/wire.py
+++ b/src/pistachioshed/core/wire.py
@@ -188,7 +188,7 @@
         A version byte, the tag, and the msgpack body.
     """
     body = msgspec.msgpack.encode((NUMBERS[type(message)], sender, message))
-    return bytes((VERSION,)) + _compute_tag(body, key) + body
+    return bytes((VERSION,)) + compute_tag(body, key) + body
 
 
 def decode(payload: bytes, key: bytes) -> Received:
@@ -218,7 +218,7 @@
     if payload[0] != VERSION:
         raise WireError(f"decode frame: version {payload[0]} is not {VERSION}")
     tag, body = payload[1 : 1 + TAG_BYTES], payload[1 + TAG_BYTES :]
-    if not hmac.compare_digest(tag, _compute_tag(body, key)):
+    if not hmac.compare_digest(tag, compute_tag(body, key)):
         raise WireError("decode frame: the tag does not match")
     try:
         envelope = _ENVELOPE_DECODER.decode(body)
@@ -236,7 +236,8 @@
     return isinstance(message, MEMBERSHIP_TYPES)
 
 
-def _compute_tag(body: bytes, key: bytes) -> bytes:
+def compute_tag(body: bytes, key: bytes) -> bytes:
+    """Return the tag of a message body."""
     # BLAKE2b takes keys of up to 64 bytes; a longer key is hashed first, as HMAC does.
     if len(key) > MAX_KEY_BYTES:
         key = hashlib.blake2b(key).digest()
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,143 @@
+"""Agreement of members about owners."""
+
+import pytest
+
+from pistachioshed.core import events, membership, records, settings, wire
+from tests import fakes
+
+NAMES = tuple(f"entry-{n:03}" for n in range(8))
+# One probe round of at most a second, a probe interval, the suspicion, and margin.
+DETECT_S = 5.0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_death_is_noticed_by_all(seed: int) -> None:
+    """Guards against owners that stay in the view after their death."""
+    network = fakes.Network(seed, 8)
+    network.start_all()
+    assert network.agree(NAMES, NAMES)
+    del network.peers["entry-003"]
+    rest = [name for name in NAMES if name != "entry-003"]
+    assert network.run(10, lambda: network.agree(rest, rest)) < DETECT_S
+
+
+@pytest.mark.parametrize("loss", [0.05, 0.2])
+def test_loss_removes_no_member(loss: float) -> None:
+    """Guards against a live owner removed for lost pings: indirect probes, refutes."""
+    network = fakes.Network(1, 8, loss)
+    peers = network.start_all(10)
+    numbers = [peer.membership.view.number for peer in peers]
+    network.run(60)
+    assert network.agree(NAMES, NAMES)
+    assert [peer.membership.view.number for peer in peers] == numbers
+
+
+def test_one_way_loss_removes_no_member() -> None:
+    """Guards against a removal by a node whose own pings alone do not arrive."""
+    network = fakes.Network(2, 8)
+    peers = network.start_all()
+    numbers = [peer.membership.view.number for peer in peers]
+    network.cut = {("entry-000", "entry-001"), ("entry-002", "entry-003")}
+    network.run(30)
+    assert [peer.membership.view.number for peer in peers] == numbers
+
+
+@pytest.mark.parametrize(("frozen_s", "changes"), [(0.9, 0), (4.0, 1), (20.0, 1)])
+def test_frozen_node_resumes_as_owner(frozen_s: float, changes: int) -> None:
+    """Guards against a resumed node that stays dead, or that removes the others."""
+    network = fakes.Network(3, 8)
+    frozen, *others = network.start_all()
+    frozen.is_frozen = True
+    network.run(frozen_s)
+    numbers = [peer.membership.view.number for peer in others]
+    frozen.is_frozen = False
+    network.run(10)
+    assert network.agree(NAMES, NAMES)
+    assert [p.membership.view.number for p in others] == [n + changes for n in numbers]
+
+
+def test_healed_partition_rejoins() -> None:
+    """Guards against halves of the fleet that never find each other again."""
+    network = fakes.Network(4, 8)
+    network.start_all()
+    left, right = NAMES[:3], NAMES[3:]
+    network.cut_between(left, right)
+    network.run(10)
+    assert network.agree(left, left) and network.agree(right, right)
+    network.cut.clear()
+    assert network.run(10, lambda: network.agree(NAMES, NAMES)) < 4.0
+
+
+@pytest.mark.parametrize("down_s", [0.1, 6.0])
+def test_restart_with_state_lost_joins_again(down_s: float) -> None:
+    """Guards against a replaced VM that is ignored for its low incarnation.
+
+    After 0.1 s the others still hold the earlier run active, after 6 s dead.
+    """
+    network = fakes.Network(5, 8)
+    network.start_all()
+    del network.peers["entry-004"]
+    network.run(down_s)
+    again = network.start("entry-004")
+    network.run(0.3)
+    rest = [name for name in NAMES if name != "entry-004"]
+    assert network.agree(rest, rest)
+    assert network.run(10, lambda: again.lifecycle.state == "active") < 3.0
+    network.run(1)
+    assert network.agree(NAMES, NAMES)
+
+
+def test_state_change_reaches_all_fast() -> None:
+    """Guards against a long time in which nodes relay to different owners."""
+    slowest = 0.0
+    for seed in range(10):
+        network = fakes.Network(seed, 8)
+        peers = network.start_all()
+        peers[0].membership.announce("leaving", network.now)
+        took = network.run(5, lambda: network.agree(NAMES, NAMES[1:]))
+        slowest = max(slowest, took)
+    assert slowest <= 0.35
+
+
+def test_list_alone_removes_no_member() -> None:
+    """Guards against a lagging or wrong VM list that takes owners away."""
+    network = fakes.Network(6, 8)
+    peers = network.start_all()
+    shorter = [vm._replace(leaving=vm.name == "entry-002") for vm in network.vms[:6]]
+    for peer in peers:
+        peer.membership.update_vms(shorter, network.now)
+    network.run(10)
+    assert network.agree(NAMES, NAMES)
+
+
+def test_stranger_is_ignored() -> None:
+    """Guards against ownership by a machine that the VM list does not have."""
+    member = membership.Membership(settings.Settings("entry-000", "zone-0"), 1)
+    member.update_vms([events.Vm("entry-001", "zone-0", "")], 0.0)
+    claim = wire.Claim(1, records.ACTIVE, records.ALIVE, 1_000)
+    stranger = wire.Update("entry-009", claim)
+    assert not member.handle("entry-009", wire.Ping(1, 0, claim), 1.0)
+    member.handle("entry-001", wire.Gossip(claim, (stranger,)), 1.0)
+    assert [owner.name for owner in member.view.members] == ["entry-001"]
+
+
+def test_lost_update_is_repaired() -> None:
+    """Guards against lasting disagreement when every copy of an update was lost."""
+    network = fakes.Network(7, 8)
+    peers = network.start_all()
+    network.run(20)
+    # As after the loss of every copy: nobody else learns of the raised incarnation.
+    target = peers[1].membership.roster.members["entry-005"]
+    target.claim = target.claim._replace(state=records.JOINING, incarnation=0)
+    peers[1].membership.tick(network.now)
+    network.run(10)
+    assert network.agree(NAMES, NAMES)
+
+
+def test_idle_traffic_is_small() -> None:
+    """Guards against control traffic that grows: repeated updates or transfers."""
+    network = fakes.Network(8, 8)
+    network.start_all(15)
+    network.sent_bytes.clear()
+    network.run(20)
+    assert sum(network.sent_bytes.values()) / 20 / 8 < 250
