--- a/src/pistachioshed/core/sender.py
+++ b/src/pistachioshed/core/sender.py
@@ -90,9 +90,18 @@
     def send_due(self, now: float) -> list[wire.Outgoing]:
         """Return the batches that are due, those of the longest waiting peer first."""
         out: list[wire.Outgoing] = []
-        for name in sorted(self.channels, key=self._get_sent_at):
-            out += self._repeat_batch(name, now)
-            out += self._send_batch(name, now)
+        for is_urgent in (True, False):
+            for name in sorted(self.channels, key=self._get_sent_at):
+                if self.is_urgent(name, now) is not is_urgent:
+                    continue
+                out += self._repeat_batch(name, now)
+                if not self._is_due(name, now):
+                    continue
+                if not self._is_affordable(name, now):
+                    # Small batches to the others would otherwise use up the tokens
+                    # for which a peer with a full batch waits.
+                    break
+                out.append(self._send_batch(name, now))
         return out
 
     def note_ack(
@@ -105,7 +114,11 @@
         if (ack.session, ack.number) != (self.session, peer.flight.batch.number):
             return []
         peer.flight = None
-        return self._send_batch(name, now)
+        # Within the normal budget the next batch waits for a tick, and its turn.
+        is_next = self.is_urgent(name, now) and self._is_due(name, now)
+        if not is_next or not self._is_affordable(name, now):
+            return []
+        return [self._send_batch(name, now)]
 
     def _get_sent_at(self, name: str) -> float:
         return self.channels[name].sent_at
@@ -121,16 +134,23 @@
         self.channels[name].flight = flight._replace(sent_at=now)
         return [self.charge(name, flight.batch, now)]
 
-    def _send_batch(self, name: str, now: float) -> list[wire.Outgoing]:
+    def _is_due(self, name: str, now: float) -> bool:
         peer = self.channels[name]
-        bucket = self._get_bucket(name, now)
         if peer.flight is not None or not peer.queued:
-            return []
-        if bucket is self.bucket and now < peer.sent_at + GATHER_S:
-            return []
-        wanted = channel.BATCH_OVERHEAD_BYTES + peer.queued * wire.FINGERPRINT_BYTES
-        if bucket.tokens < min(wanted, channel.MAX_BATCH_BYTES):
-            return []
+            return False
+        is_full = self._estimate_size(peer) >= channel.MAX_BATCH_BYTES
+        has_gathered = now >= peer.sent_at + GATHER_S
+        return is_full or has_gathered or self.is_urgent(name, now)
+
+    def _is_affordable(self, name: str, now: float) -> bool:
+        size = min(self._estimate_size(self.channels[name]), channel.MAX_BATCH_BYTES)
+        return self._get_bucket(name, now).tokens >= size
+
+    def _estimate_size(self, peer: channel.Channel) -> int:
+        return channel.BATCH_OVERHEAD_BYTES + peer.queued * wire.FINGERPRINT_BYTES
+
+    def _send_batch(self, name: str, now: float) -> wire.Outgoing:
+        peer = self.channels[name]
         content = peer.take(self._find_upstream, channel.MAX_BATCH_BYTES)
         self.last_number += 1
         batch = wire.Batch(
@@ -144,7 +164,7 @@
         items = len(content.flows) + len(content.removals) + (content.complete > 0)
         peer.flight = channel.Flight(batch, items, now)
         peer.sent_at = now
-        return [self.charge(name, batch, now)]
+        return self.charge(name, batch, now)
 
     def _find_upstream(self, key: channel.Key) -> str:
         entry = self.exceptions[key[0]].get(key[1])
