Add the store port, its etcd adapter and a stand-in

Cause: tables, audit records and leases live in the platform's key-value service, whose answers can be slow, lost or silent. Change: a port with compare-and-swap, leases and watches; an adapter over the etcd v3 JSON gateway with a deadline on every call, retried reads, writes that are sent at most once and a watch that is re-opened after 5 s of silence; a stand-in served by klein with faults that an admin call sets.

--- /dev/null
+++ b/src/pistachioshed/adapters/etcd.py
@@ -0,0 +1,156 @@
+"""The store port over the JSON gateway of the etcd v3 API."""
+
+import itertools
+import random as standard_random
+import typing
+from collections import abc
+
+import treq.client
+from twisted.internet import task
+
+from pistachioshed.adapters import gateway, watching
+from pistachioshed.ports import store
+
+DEADLINE_SECONDS: typing.Final = 2.0
+READ_ATTEMPTS: typing.Final = 4
+BACKOFF_SECONDS: typing.Final = 0.1
+
+
+class EtcdStore:
+    """The key-value service at one or more addresses, tried in turn.
+
+    Reads are tried again with backoff. A write goes to the next address only if the
+    connection to the one before was refused, so that it is never sent twice.
+    """
+
+    def __init__(
+        self,
+        addresses: abc.Sequence[str],
+        http: treq.client.HTTPClient,
+        clock: typing.Any,
+        random: standard_random.Random,
+        deadline_seconds: float = DEADLINE_SECONDS,
+    ) -> None:
+        self.addresses = list(addresses)
+        self.http = http
+        self.clock = clock
+        self.random = random
+        self.deadline_seconds = deadline_seconds
+
+    async def get(self, key: str) -> store.GetAnswer:
+        """Read one key."""
+        answer = await self.read(f"get {key}", "kv/range", gateway.make_key(key))
+        pairs = [gateway.read_pair(pair) for pair in answer.get("kvs", ())]
+        return store.GetAnswer(
+            gateway.read_revision(answer), pairs[0] if pairs else None
+        )
+
+    async def get_prefix(
+        self, prefix: str, limit: int = 0, descending: bool = False
+    ) -> store.RangeAnswer:
+        """Read the pairs below a prefix ordered by key; a limit of 0 means all."""
+        message = gateway.make_prefix(prefix)
+        message["limit"] = str(limit)
+        message["sort_target"] = "KEY"
+        message["sort_order"] = "DESCEND" if descending else "ASCEND"
+        answer = await self.read(f"get below {prefix}", "kv/range", message)
+        pairs = tuple(gateway.read_pair(pair) for pair in answer.get("kvs", ()))
+        return store.RangeAnswer(gateway.read_revision(answer), pairs)
+
+    async def transact(
+        self, compares: abc.Sequence[store.Compare], writes: abc.Sequence[store.Write]
+    ) -> store.TransactAnswer:
+        """Apply all writes at one revision if all conditions hold."""
+        message = {
+            "compare": [gateway.make_compare(compare) for compare in compares],
+            "success": [gateway.make_write(write) for write in writes],
+        }
+        answer = await self.write("transact", "kv/txn", message)
+        return store.TransactAnswer(
+            gateway.read_revision(answer), bool(answer.get("succeeded", False))
+        )
+
+    async def grant_lease(self, ttl_seconds: int) -> store.LeaseAnswer:
+        """Make a lease."""
+        message = {"TTL": str(ttl_seconds)}
+        return _read_lease(await self.write("grant lease", "lease/grant", message))
+
+    async def keep_alive(self, lease: int) -> store.LeaseAnswer:
+        """Extend a lease by its full time."""
+        message = {"ID": str(lease)}
+        answer = await self.write("keep lease", "lease/keepalive", message)
+        return _read_lease(answer.get("result", answer))
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        await self.write("revoke lease", "kv/lease/revoke", {"ID": str(lease)})
+
+    def watch(
+        self, prefix: str, revision: int, deliver: store.Deliver
+    ) -> watching.EtcdWatch:
+        """Deliver all changes below a prefix from a revision on, without a gap."""
+        running = watching.EtcdWatch(self, prefix, revision, deliver)
+        running.start()
+        return running
+
+    async def read(
+        self, step: str, path: str, message: gateway.Message
+    ) -> gateway.Message:
+        """Make a call without effects, up to `READ_ATTEMPTS` times."""
+        for attempt in itertools.count(1):
+            address = self.addresses[0]
+            try:
+                return await self.call(address, path, message)
+            except gateway.Rejected as cause:
+                raise store.StoreRefused(step, address, str(cause)) from cause
+            except (gateway.NotSent, gateway.NoAnswer) as cause:
+                self.demote(address)
+                if attempt == READ_ATTEMPTS:
+                    raise store.StoreUnavailable(step, address, str(cause)) from cause
+            await self.pause(attempt)
+        raise AssertionError("unreachable")
+
+    async def write(
+        self, step: str, path: str, message: gateway.Message
+    ) -> gateway.Message:
+        """Make a call with effects, sent at most once."""
+        addresses = tuple(self.addresses)
+        for address in addresses:
+            try:
+                return await self.call(address, path, message)
+            except gateway.Rejected as cause:
+                raise store.StoreRefused(step, address, str(cause)) from cause
+            except gateway.NoAnswer as cause:
+                self.demote(address)
+                raise store.AnswerLost(step, address, str(cause)) from cause
+            except gateway.NotSent as cause:
+                self.demote(address)
+                reason = str(cause)
+        raise store.StoreUnavailable(step, ", ".join(addresses), reason)
+
+    async def call(
+        self, address: str, path: str, message: gateway.Message
+    ) -> gateway.Message:
+        """Make one call at one address."""
+        url = f"http://{address}/v3/{path}"
+        return await gateway.call(
+            self.http, self.clock, url, message, self.deadline_seconds
+        )
+
+    def demote(self, address: str) -> None:
+        """Move an address that failed behind the others."""
+        self.addresses.remove(address)
+        self.addresses.append(address)
+
+    async def pause(self, attempt: int) -> None:
+        """Wait before the next attempt: exponential backoff with full jitter."""
+        longest = min(BACKOFF_SECONDS * 2.0**attempt, self.deadline_seconds)
+        await task.deferLater(self.clock, self.random.uniform(0, longest))
+
+
+def _read_lease(answer: gateway.Message) -> store.LeaseAnswer:
+    return store.LeaseAnswer(
+        gateway.read_revision(answer),
+        int(answer.get("ID", 0)),
+        int(answer.get("TTL", 0)),
+    )
--- /dev/null
+++ b/src/pistachioshed/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What operators do: edits, their audit trail, sheets and status."""
--- /dev/null
+++ b/standins/keyspace.py
@@ -0,0 +1,167 @@
+"""The state behind the store stand-in: keys with revisions, history and leases."""
+
+import base64
+import itertools
+import typing
+from collections import abc
+
+Message = dict[str, typing.Any]
+
+
+class Lease(typing.NamedTuple):
+    """A lease and the time at which it ends."""
+
+    ttl_seconds: int
+    end: float
+
+
+def encode_bytes(value: bytes) -> str:
+    """Return the gateway's form of bytes."""
+    return base64.b64encode(value).decode()
+
+
+def decode_bytes(message: Message, field: str) -> bytes:
+    """Return a bytes field of a gateway message, empty when absent."""
+    return base64.b64decode(message.get(field, ""))
+
+
+class KeySpace:
+    """Multi-version keys as the etcd v3 API has them, on gateway messages."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.compacted = 0
+        self.pairs: dict[bytes, Message] = {}
+        self.history: list[tuple[int, list[Message]]] = []
+        self.leases: dict[int, Lease] = {}
+        self.lease_ids = itertools.count(7_001)
+
+    def make_header(self) -> Message:
+        """Return the header of an answer."""
+        return {"cluster_id": "1", "member_id": "1", "revision": str(self.revision)}
+
+    def select_keys(self, message: Message) -> list[bytes]:
+        """Return the present keys that a request names, in order."""
+        key = decode_bytes(message, "key")
+        end = decode_bytes(message, "range_end")
+        if not end:
+            return [key] if key in self.pairs else []
+        return sorted(k for k in self.pairs if key <= k and (end == b"\0" or k < end))
+
+    def read_range(self, message: Message) -> Message:
+        """Answer a range request."""
+        keys = self.select_keys(message)
+        if message.get("sort_order") == "DESCEND":
+            keys.reverse()
+        limit = int(message.get("limit", 0))
+        answer: Message = {"header": self.make_header(), "count": str(len(keys))}
+        if limit and len(keys) > limit:
+            keys, answer["more"] = keys[:limit], True
+        if keys:
+            answer["kvs"] = [self.pairs[key] for key in keys]
+        return answer
+
+    def run_transaction(self, message: Message) -> tuple[Message, list[Message]]:
+        """Answer a transaction; also return the events it caused."""
+        held = all(self._check(compare) for compare in message.get("compare", ()))
+        events: list[Message] = []
+        responses: list[Message] = []
+        for request in message.get("success" if held else "failure", ()):
+            if "request_put" in request:
+                events.append(self._put(request["request_put"]))
+                responses.append({"response_put": {"header": self.make_header()}})
+            elif "request_delete_range" in request:
+                keys = self.select_keys(request["request_delete_range"])
+                events += [self._delete(key) for key in keys]
+                responses.append({"response_delete_range": {"deleted": str(len(keys))}})
+            else:
+                answer = self.read_range(request["request_range"])
+                responses.append({"response_range": answer})
+        self._commit(events)
+        answer = {"header": self.make_header(), "responses": responses}
+        if held:
+            answer["succeeded"] = True
+        return answer, events
+
+    def grant_lease(self, ttl_seconds: int, now: float) -> int:
+        """Make a lease and return its id."""
+        lease = next(self.lease_ids)
+        self.leases[lease] = Lease(ttl_seconds, now + ttl_seconds)
+        return lease
+
+    def keep_alive(self, lease: int, now: float) -> int:
+        """Extend a lease and return its time to live, 0 when it has ended."""
+        held = self.leases.get(lease)
+        if held is None:
+            return 0
+        self.leases[lease] = held._replace(end=now + held.ttl_seconds)
+        return held.ttl_seconds
+
+    def end_lease(self, lease: int) -> list[Message]:
+        """Delete a lease and its keys, and return the events."""
+        self.leases.pop(lease, None)
+        keys = [
+            key
+            for key, pair in sorted(self.pairs.items())
+            if int(pair.get("lease", 0)) == lease
+        ]
+        events = [self._delete(key) for key in keys]
+        self._commit(events)
+        return events
+
+    def find_ended_leases(self, now: float) -> list[int]:
+        """Return the leases whose time is over."""
+        return [lease for lease, held in self.leases.items() if held.end <= now]
+
+    def compact(self, revision: int) -> None:
+        """Forget the changes up to a revision."""
+        self.compacted = revision
+        self.history = [entry for entry in self.history if entry[0] > revision]
+
+    def read_history(self, revision: int) -> abc.Iterator[list[Message]]:
+        """Yield the events of each revision from one on."""
+        for changed, events in self.history:
+            if changed >= revision:
+                yield events
+
+    def _check(self, compare: Message) -> bool:
+        field = {"MOD": "mod_revision", "CREATE": "create_revision"}.get(
+            compare["target"], "version"
+        )
+        wanted = int(compare.get(field, 0))
+        keys = self.select_keys(compare)
+        found = [int(self.pairs[key][field]) for key in keys]
+        if not found and not compare.get("range_end"):
+            found = [0]
+        if compare.get("result") == "LESS":
+            return all(value < wanted for value in found)
+        return all(value == wanted for value in found)
+
+    def _put(self, request: Message) -> Message:
+        key = decode_bytes(request, "key")
+        revision = str(self.revision + 1)
+        old = self.pairs.get(key)
+        pair = {
+            "key": request["key"],
+            "create_revision": old["create_revision"] if old else revision,
+            "mod_revision": revision,
+            "version": str(int(old["version"]) + 1 if old else 1),
+            "value": request.get("value", ""),
+        }
+        if int(request.get("lease", 0)):
+            pair["lease"] = str(request["lease"])
+        self.pairs[key] = pair
+        return {"kv": pair}
+
+    def _delete(self, key: bytes) -> Message:
+        del self.pairs[key]
+        revision = str(self.revision + 1)
+        return {
+            "type": "DELETE",
+            "kv": {"key": encode_bytes(key), "mod_revision": revision},
+        }
+
+    def _commit(self, events: list[Message]) -> None:
+        if events:
+            self.revision += 1
+            self.history.append((self.revision, events))
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,258 @@
+"""Stand-in for the platform's key-value service: the etcd v3 JSON gateway.
+
+It serves the calls that this project makes. `POST /admin` sets faults and `GET /admin`
+returns them with counts of all calls by kind.
+"""
+
+import argparse
+import collections
+import contextlib
+import typing
+from collections import abc
+
+import klein
+import msgspec
+from twisted.internet import defer, error, interfaces, task
+from twisted.web import http, server
+
+from standins import keyspace
+
+PROGRESS_SECONDS: typing.Final = 2.0
+LEASE_CHECK_SECONDS: typing.Final = 0.1
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults in force.
+
+    `lose_answers` and `drop_writes` count the next writes that lose their answer after
+    and before they take effect; `silence_watches` keeps the watches that are open now
+    from getting anything more.
+    """
+
+    down: bool = False
+    delay_seconds: float = 0.0
+    lose_answers: int = 0
+    drop_writes: int = 0
+    expire_lease: int = 0
+    silence_watches: bool = False
+    compact: int = 0
+
+
+class Watcher(typing.NamedTuple):
+    """An open watch."""
+
+    request: http.Request
+    key: bytes
+    end: bytes
+
+
+class Store:
+    """The service's state, its faults and its open watches."""
+
+    def __init__(self, clock: typing.Any) -> None:
+        self.clock = clock
+        self.keys = keyspace.KeySpace()
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.watchers: list[Watcher] = []
+        self.app = make_app(self)
+        self.loops = [
+            task.LoopingCall(self.report_progress),
+            task.LoopingCall(self.end_leases),
+        ]
+        for loop, seconds in zip(self.loops, (PROGRESS_SECONDS, LEASE_CHECK_SECONDS)):
+            loop.clock = clock
+            loop.start(seconds, now=False)
+
+    def publish(self, events: list[keyspace.Message]) -> None:
+        """Send the events of one revision to the watches that ask for them."""
+        for watcher in tuple(self.watchers):
+            chosen = [
+                event
+                for event in events
+                if watcher.key <= keyspace.decode_bytes(event["kv"], "key")
+                and keyspace.decode_bytes(event["kv"], "key") < watcher.end
+            ]
+            if chosen:
+                self.send(watcher.request, {"events": chosen})
+
+    def send(self, request: http.Request, result: keyspace.Message) -> None:
+        """Write one line to a watch."""
+        result = {"header": self.keys.make_header(), **result}
+        request.write(msgspec.json.encode({"result": result}) + b"\n")
+
+    def report_progress(self) -> None:
+        """Tell all open watches the revision that they are complete up to."""
+        if not self.faults.down:
+            for watcher in tuple(self.watchers):
+                self.send(watcher.request, {})
+
+    def end_leases(self) -> None:
+        """Delete leases whose time is over, with their keys."""
+        for lease in self.keys.find_ended_leases(self.clock.seconds()):
+            self.publish(self.keys.end_lease(lease))
+
+    def set_faults(self, faults: Faults) -> None:
+        """Replace the faults and carry out those that happen at once."""
+        self.faults = faults
+        if faults.expire_lease:
+            self.publish(self.keys.end_lease(faults.expire_lease))
+        if faults.compact:
+            self.keys.compact(faults.compact)
+        if faults.silence_watches:
+            self.watchers.clear()
+        if faults.down:
+            watchers, self.watchers = self.watchers, []
+            for watcher in watchers:
+                cut(watcher.request)
+
+    def open_watch(self, request: http.Request, message: keyspace.Message) -> None:
+        """Start a watch with the changes since its start revision."""
+        wanted = message["create_request"]
+        start = int(wanted.get("start_revision", 0)) or self.keys.revision + 1
+        self.send(request, {"created": True})
+        if start <= self.keys.compacted:
+            compacted = str(self.keys.compacted + 1)
+            self.send(request, {"canceled": True, "compact_revision": compacted})
+            request.finish()
+            return
+        key = keyspace.decode_bytes(wanted, "key")
+        end = keyspace.decode_bytes(wanted, "range_end") or key + b"\0"
+        watcher = Watcher(request, key, end)
+        others, self.watchers = self.watchers, [watcher]
+        for events in self.keys.read_history(start):
+            self.publish(events)
+        self.watchers = [*others, watcher]
+
+        def close(_: object) -> None:
+            if watcher in self.watchers:
+                self.watchers.remove(watcher)
+
+        request.notifyFinish().addBoth(close)
+
+
+def make_app(state: Store) -> klein.Klein:
+    """Make the HTTP application of a store."""
+    app = klein.Klein()
+
+    def read_range(message: keyspace.Message) -> keyspace.Message:
+        return state.keys.read_range(message)
+
+    def transact(message: keyspace.Message) -> keyspace.Message:
+        answer, events = state.keys.run_transaction(message)
+        state.publish(events)
+        return answer
+
+    def grant(message: keyspace.Message) -> keyspace.Message:
+        lease = state.keys.grant_lease(int(message["TTL"]), state.clock.seconds())
+        header = state.keys.make_header()
+        return {"header": header, "ID": str(lease), "TTL": message["TTL"]}
+
+    def keep_alive(message: keyspace.Message) -> keyspace.Message:
+        ttl = state.keys.keep_alive(int(message["ID"]), state.clock.seconds())
+        answer = {"header": state.keys.make_header(), "ID": message["ID"]}
+        return {"result": {**answer, "TTL": str(ttl)} if ttl else answer}
+
+    def revoke(message: keyspace.Message) -> keyspace.Message:
+        state.publish(state.keys.end_lease(int(message["ID"])))
+        return {"header": state.keys.make_header()}
+
+    def serve(
+        path: str,
+        answer: abc.Callable[[keyspace.Message], keyspace.Message],
+        writes: bool,
+    ) -> None:
+        @app.route(f"/v3/{path}", methods=["POST"], endpoint=path)
+        async def handle(request: http.Request) -> bytes:
+            state.calls[path] += 1
+            message = read_message(request)
+            if state.faults.delay_seconds:
+                await task.deferLater(state.clock, state.faults.delay_seconds)
+            if state.faults.down or (writes and take_fault(state, "drop_writes")):
+                await cut(request)
+            result = answer(message)
+            if writes and take_fault(state, "lose_answers"):
+                await cut(request)
+            request.setHeader("Content-Type", "application/json")
+            return msgspec.json.encode(result)
+
+    serve("kv/range", read_range, False)
+    serve("kv/txn", transact, True)
+    serve("lease/grant", grant, True)
+    serve("lease/keepalive", keep_alive, True)
+    serve("kv/lease/revoke", revoke, True)
+    serve("lease/revoke", revoke, True)
+
+    @app.route("/v3/watch", methods=["POST"])
+    async def watch(request: http.Request) -> None:
+        state.calls["watch"] += 1
+        message = read_message(request)
+        if state.faults.delay_seconds:
+            await task.deferLater(state.clock, state.faults.delay_seconds)
+        if state.faults.down:
+            await cut(request)
+        ended = request.notifyFinish()
+        state.open_watch(request, message)
+        with contextlib.suppress(error.ConnectionClosed):
+            await ended
+
+    @app.route("/admin", methods=["POST"])
+    def set_faults(request: http.Request) -> bytes:
+        state.set_faults(msgspec.convert(read_message(request), Faults))
+        return b"{}"
+
+    @app.route("/admin", methods=["GET"])
+    def show(request: http.Request) -> bytes:
+        return msgspec.json.encode(
+            {
+                "faults": state.faults,
+                "calls": dict(state.calls),
+                "open_watches": len(state.watchers),
+                "revision": state.keys.revision,
+            }
+        )
+
+    return app
+
+
+def read_message(request: http.Request) -> keyspace.Message:
+    """Return the JSON object that a request carries."""
+    content = typing.cast(typing.BinaryIO, request.content)
+    return msgspec.json.decode(content.read(), type=keyspace.Message)
+
+
+def take_fault(state: Store, name: str) -> bool:
+    """Use up one occurrence of a counted fault."""
+    left: int = getattr(state.faults, name)
+    setattr(state.faults, name, max(left - 1, 0))
+    return left > 0
+
+
+def cut(request: http.Request) -> defer.Deferred[None]:
+    """Cut a request's connection; the returned deferred never fires."""
+    typing.cast(typing.Any, request.transport).abortConnection()
+    return defer.Deferred()
+
+
+def serve_store(
+    reactor: typing.Any, address: str
+) -> tuple[Store, interfaces.IListeningPort]:
+    """Serve a new store at "ip:port"."""
+    state = Store(reactor)
+    host, _, port = address.rpartition(":")
+    site = server.Site(state.app.resource())
+    return state, reactor.listenTCP(int(port), site, interface=host)
+
+
+def main() -> None:
+    """Serve a store until the process is stopped."""
+    from twisted.internet import reactor
+
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True, help="ip:port to listen at")
+    serve_store(reactor, parser.parse_args().address)
+    typing.cast(typing.Any, reactor).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_etcd.py
@@ -0,0 +1,132 @@
+"""The store adapter against the stand-in."""
+
+import pytest
+
+from pistachioshed.ports import store
+from tests import fakes
+
+ABSENT = store.Compare("/a", "mod", 0)
+
+
+def test_compare_and_swap_has_one_winner() -> None:
+    """Guards against two writers that both believe that they won."""
+    fixture = fakes.StoreFixture()
+    first = fixture.run(fixture.store.transact([ABSENT], [store.Put("/a", b"1")]))
+    second = fixture.run(fixture.store.transact([ABSENT], [store.Put("/a", b"2")]))
+    assert (first.succeeded, second.succeeded) == (True, False)
+    answer = fixture.run(fixture.store.get("/a"))
+    assert answer.pair is not None
+    assert answer.pair.value == b"1"
+    assert answer.pair.mod_revision == first.revision == answer.revision
+
+
+def test_prefix_compare_sees_any_later_change() -> None:
+    """Guards against a check over all tables that misses a new one."""
+    fixture = fakes.StoreFixture()
+    before = fixture.run(fixture.store.transact([], [store.Put("/t/a", b"1")]))
+    unchanged = store.Compare("/t/", "mod", before.revision + 1, "less", prefix=True)
+    assert fixture.run(fixture.store.transact([unchanged], [])).succeeded
+    fixture.run(fixture.store.transact([], [store.Put("/t/b", b"1")]))
+    assert not fixture.run(fixture.store.transact([unchanged], [])).succeeded
+
+
+@pytest.mark.parametrize(
+    ("fault", "written"), [("lose_answers", 1), ("drop_writes", 0)]
+)
+def test_cut_write_is_reported_and_sent_once(fault: str, written: int) -> None:
+    """Guards against a write sent again blindly, which could take effect twice."""
+    fixture = fakes.StoreFixture()
+    fixture.set_faults(**{fault: 1})
+    with pytest.raises(store.AnswerLost) as caught:
+        fixture.run(fixture.store.transact([], [store.Put("/a", b"1")]))
+    assert (caught.value.step, caught.value.peer) == ("transact", "127.0.0.1:1")
+    assert fixture.state.calls["kv/txn"] == 1
+    pair = fixture.run(fixture.store.get("/a")).pair
+    assert (pair is not None) == bool(written)
+
+
+def test_slow_store_meets_the_deadline() -> None:
+    """Guards against a command that hangs with a slow store."""
+    fixture = fakes.StoreFixture()
+    fixture.set_faults(delay_seconds=30.0)
+    with pytest.raises(store.StoreUnavailable, match="no answer within"):
+        fixture.run(fixture.store.get("/a"), limit_seconds=12.0)
+    with pytest.raises(store.AnswerLost):
+        fixture.run(
+            fixture.store.transact([], [store.Put("/a", b"1")]), limit_seconds=3.0
+        )
+
+
+def test_refused_address_fails_over_without_a_second_write() -> None:
+    """Guards against one dead store address that stops reads and writes."""
+    fixture = fakes.StoreFixture(["127.0.0.1:1", "127.0.0.1:2"])
+    fixture.agent.refused.add("127.0.0.1:1")
+    fixture.run(fixture.store.transact([], [store.Put("/a", b"1")]))
+    assert fixture.run(fixture.store.get("/a")).pair is not None
+    assert fixture.state.calls == {"kv/txn": 1, "kv/range": 1}
+    fixture.agent.refused.add("127.0.0.1:2")
+    with pytest.raises(store.StoreUnavailable):
+        fixture.run(fixture.store.transact([], [store.Put("/a", b"2")]))
+
+
+def test_expired_lease_is_seen_by_its_holder_and_by_watches() -> None:
+    """Guards against a paused holder that writes on after its lease ended."""
+    fixture = fakes.StoreFixture()
+    batches: list[store.WatchBatch] = []
+    lease = fixture.run(fixture.store.grant_lease(5)).lease
+    fixture.run(fixture.store.transact([], [store.Put("/l", b"me", lease)]))
+    watch = fixture.store.watch("/l", 1, batches.append)
+    fixture.advance(4.0)
+    assert fixture.run(fixture.store.keep_alive(lease)).ttl_seconds == 5
+    fixture.advance(6.0)
+    assert fixture.run(fixture.store.keep_alive(lease)).ttl_seconds == 0
+    held = store.Compare("/l", "create", 2)
+    assert not fixture.run(fixture.store.transact([held], [])).succeeded
+    assert [e.deleted for b in batches for e in b.events] == [False, True]
+    watch.stop()
+
+
+def put(fixture: fakes.StoreFixture, *keys: str) -> None:
+    """Write keys, each at its own revision."""
+    for key in keys:
+        fixture.run(fixture.store.transact([], [store.Put(key, b"1")]))
+
+
+def list_events(batches: list[store.WatchBatch]) -> list[tuple[str, int]]:
+    """Return the delivered keys and revisions in order."""
+    return [(e.key, e.mod_revision) for batch in batches for e in batch.events]
+
+
+@pytest.mark.parametrize("fault", [{"silence_watches": True}, {"down": True}])
+def test_broken_watch_is_reopened_without_a_lost_event(fault: dict[str, bool]) -> None:
+    """Guards against a watch that stays silent, or skips or repeats a change."""
+    fixture = fakes.StoreFixture()
+    batches: list[store.WatchBatch] = []
+    watch = fixture.store.watch("/t/", 2, batches.append)
+    put(fixture, "/t/a", "/other")
+    fixture.set_faults(**fault)
+    fixture.advance(1.0)
+    fixture.set_faults()
+    put(fixture, "/t/b", "/t/c")
+    fixture.advance(8.0)
+    assert list_events(batches) == [("/t/a", 2), ("/t/b", 4), ("/t/c", 5)]
+    assert watch.openings >= 2
+    watch.stop()
+    put(fixture, "/t/d")
+    fixture.advance(8.0)
+    assert len(list_events(batches)) == 3
+    assert not fixture.state.watchers
+
+
+def test_compacted_watch_continues_from_a_snapshot() -> None:
+    """Guards against a watch that can never open again after a compaction."""
+    fixture = fakes.StoreFixture()
+    put(fixture, "/t/a", "/t/b", "/t/a")
+    fixture.state.keys.compact(4)
+    batches: list[store.WatchBatch] = []
+    watch = fixture.store.watch("/t/", 2, batches.append)
+    fixture.advance(0.5)
+    put(fixture, "/t/c")
+    assert batches[0].snapshot
+    assert list_events(batches) == [("/t/a", 4), ("/t/b", 3), ("/t/c", 5)]
+    watch.stop()
