Add edits, audit, sheets, status and the operators' command line

Cause: operators change the system only by editing tables, two of them may edit one table at the same time, and an answer of the store may be lost. Change: edits by compare-and-swap with the table and the audit record in one transaction; a lost answer is resolved by the audit trail and the same conditions; edits of different rows merge, others conflict; sheets carry the version that they were exported from; the pistachioshed command.

--- /dev/null
+++ b/src/pistachioshed/apps/console.py
@@ -0,0 +1,209 @@
+"""What all operators' commands share: settings, one run of Twisted, exit codes."""
+
+import datetime
+import enum
+import getpass
+import pathlib
+import random
+import time
+import typing
+import uuid
+from collections import abc
+
+import msgspec
+import typer
+from twisted.internet import defer, task
+
+from pistachioshed.adapters import etcd, gateway, ini
+from pistachioshed.core import tables
+from pistachioshed.operations import commits, documents, rules, sheets
+from pistachioshed.ports import store as store_port
+
+
+class ExitCode(enum.IntEnum):
+    """How a command ended."""
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    UNKNOWN = 3
+    UNREACHABLE = 4
+
+
+class Settings(typing.NamedTuple):
+    """The operators' settings file."""
+
+    addresses: tuple[str, ...]
+    deadline_seconds: float
+    operator: str
+
+
+class Environment(typing.NamedTuple):
+    """What a command works with."""
+
+    store: store_port.Store
+    clock: typing.Any
+    operator: str
+    read_time: abc.Callable[[], float]
+    make_id: abc.Callable[[], str]
+
+    def make_author(self) -> commits.Author:
+        """Return the operator and the time, for the audit trail."""
+        return commits.Author(self.operator, format_time(self.read_time()))
+
+
+Body = abc.Callable[[Environment], abc.Coroutine[typing.Any, typing.Any, ExitCode]]
+# Runs a body with the settings of a file and returns its exit code.
+Run = abc.Callable[[pathlib.Path, Body], ExitCode]
+
+
+class Options(typing.NamedTuple):
+    """Options of all commands."""
+
+    settings: pathlib.Path
+    as_json: bool
+    run: Run
+
+
+class NotInForce(Exception):
+    """A version that is not in force on all nodes in time."""
+
+    def __init__(self, service: str, version: int, seconds: float) -> None:
+        super().__init__(
+            f"{service}: version {version} is not in force on all nodes "
+            f"after {seconds:g} s"
+        )
+
+
+def parse_addresses(text: str) -> tuple[str, ...]:
+    """Parse "ip:port" addresses separated by commas."""
+    addresses = tuple(address.strip() for address in text.split(","))
+    for address in addresses:
+        rules.normalize_address(address)
+    return addresses
+
+
+OPTIONS: typing.Final = (
+    ini.Option(
+        "store",
+        "addresses",
+        "addresses",
+        parse_addresses,
+        "ip:port of the store, several separated by commas",
+    ),
+    ini.Option(
+        "store",
+        "deadline_seconds",
+        "deadline_seconds",
+        ini.parse_positive,
+        "seconds above 0",
+        str(etcd.DEADLINE_SECONDS),
+    ),
+    ini.Option(
+        "operator",
+        "name",
+        "operator",
+        ini.parse_name,
+        "the name for the audit trail, without spaces",
+        getpass.getuser(),
+    ),
+)
+
+
+def format_time(seconds: float) -> str:
+    """Return a time since the epoch as ISO 8601 in UTC."""
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.isoformat(timespec="seconds")
+
+
+def run_in_reactor(path: pathlib.Path, body: Body) -> ExitCode:
+    """Read the settings, run a body in the reactor and return its exit code."""
+    settings = ini.read_settings(path, OPTIONS, Settings)
+    results: list[ExitCode] = []
+    failures: list[Exception] = []
+
+    async def run(reactor: typing.Any) -> None:
+        http = gateway.make_client(reactor, settings.deadline_seconds)
+        store = etcd.EtcdStore(
+            settings.addresses,
+            http,
+            reactor,
+            random.Random(),
+            settings.deadline_seconds,
+        )
+        environment = Environment(
+            store, reactor, settings.operator, time.time, lambda: uuid.uuid4().hex
+        )
+        try:
+            results.append(await body(environment))
+        except Exception as error:
+            failures.append(error)
+
+    try:
+        task.react(lambda reactor: defer.Deferred.fromCoroutine(run(reactor)))
+    except SystemExit:
+        # react always exits; the outcome is in the lists.
+        pass
+    if failures:
+        raise failures[0]
+    return results[0] if results else ExitCode.UNKNOWN
+
+
+def choose_exit_code(error: Exception) -> ExitCode | None:
+    """Return the exit code of an expected error, None for a fault of the program."""
+    match error:
+        case ExceptionGroup():
+            codes = [choose_exit_code(fault) for fault in error.exceptions]
+            return None if None in codes else codes[0]
+        case rules.OutcomeUnknown() | store_port.AnswerLost():
+            return ExitCode.UNKNOWN
+        case store_port.StoreUnavailable():
+            return ExitCode.UNREACHABLE
+        case ini.SettingError():
+            return ExitCode.USAGE
+        case (
+            rules.EditConflict()
+            | rules.EditRefused()
+            | rules.ServiceUnknown()
+            | documents.ServiceNameError()
+            | documents.DocumentError()
+            | sheets.SheetError()
+            | tables.RowError()
+            | store_port.StoreRefused()
+            | NotInForce()
+        ):
+            return ExitCode.REFUSED
+    return None
+
+
+def list_messages(error: Exception) -> list[str]:
+    """Return one line per fault."""
+    if isinstance(error, ExceptionGroup):
+        return [line for fault in error.exceptions for line in list_messages(fault)]
+    return [str(error)]
+
+
+def run_body(context: typer.Context, body: Body) -> typing.NoReturn:
+    """Run a command's body, print its faults and exit with its code.
+
+    Raises
+    ------
+    typer.Exit
+        Always, with the exit code.
+    """
+    options: Options = context.obj
+    try:
+        code = options.run(options.settings, body)
+    except Exception as error:
+        chosen = choose_exit_code(error)
+        if chosen is None:
+            raise
+        messages = list_messages(error)
+        if options.as_json:
+            fault = {"exit_code": int(chosen), "errors": messages}
+            typer.echo(msgspec.json.encode(fault).decode(), err=True)
+        else:
+            for message in messages:
+                typer.echo(f"error: {message}", err=True)
+        raise typer.Exit(int(chosen)) from error
+    raise typer.Exit(int(code))
--- /dev/null
+++ b/src/pistachioshed/apps/editing.py
@@ -0,0 +1,216 @@
+"""The commands that change service tables."""
+
+import pathlib
+import typing
+from collections import abc
+
+import typer
+
+from pistachioshed.apps import arguments, console, rendering
+from pistachioshed.core import tables
+from pistachioshed.operations import changes, edits, imports, sheets
+
+
+def run_change(
+    context: typer.Context,
+    service: str,
+    edit_id: str,
+    force: bool,
+    make_build: abc.Callable[[str], edits.BuildEdit],
+) -> None:
+    """Run an edit of the current table and exit."""
+
+    async def body(environment: console.Environment) -> console.ExitCode:
+        chosen_id = edit_id or environment.make_id()
+        result = await edits.change_table(
+            environment.store,
+            service,
+            chosen_id,
+            make_build(chosen_id),
+            environment.make_author(),
+            force,
+            repeated=bool(edit_id),
+        )
+        rendering.show_result(result, context.obj.as_json)
+        return console.ExitCode.DONE
+
+    console.run_body(context, body)
+
+
+def read_sheet(file: pathlib.Path) -> sheets.Sheet:
+    """Read a CSV file."""
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as cause:
+        fault = sheets.SheetError(str(file), 0, "*", f"can not be read: {cause}")
+        raise ExceptionGroup(f"{file}: no sheet", [fault]) from cause
+    return sheets.parse_sheet(str(file), text)
+
+
+def apply(
+    context: typer.Context,
+    service: arguments.Service,
+    file: typing.Annotated[
+        pathlib.Path, typer.Argument(help="CSV file, as `export` writes it.")
+    ],
+    edit_id: arguments.EditId = "",
+    force: arguments.Force = False,
+) -> None:
+    """Apply the rows that you changed in an exported CSV file.
+
+    Rows that you left as they were are not touched, also if others changed them since
+    the export. A row that you removed from the file is removed. If others changed one
+    of your rows, the whole edit is refused: export and edit again.
+    """
+
+    async def body(environment: console.Environment) -> console.ExitCode:
+        result = await imports.apply_sheet(
+            environment.store,
+            service,
+            read_sheet(file),
+            edit_id or environment.make_id(),
+            environment.make_author(),
+            force,
+        )
+        rendering.show_result(result, context.obj.as_json)
+        return console.ExitCode.DONE
+
+    console.run_body(context, body)
+
+
+def set_row(
+    context: typer.Context,
+    service: arguments.Service,
+    upstream: arguments.Upstream,
+    address: arguments.Address = None,
+    zone: arguments.Zone = None,
+    weight: arguments.Weight = None,
+    connections: arguments.Connections = None,
+    slots: arguments.Slots = None,
+    state: arguments.State = None,
+    edit_id: arguments.EditId = "",
+    force: arguments.Force = False,
+) -> None:
+    """Change columns of one row; columns that are not named stay."""
+    columns = changes.Columns(address, zone, weight, connections, slots, state)
+    if columns == changes.Columns():
+        raise typer.BadParameter("name at least one column to change")
+    run_change(
+        context,
+        service,
+        edit_id,
+        force,
+        lambda chosen_id: changes.set_columns(upstream, columns, chosen_id),
+    )
+
+
+def add(
+    context: typer.Context,
+    service: arguments.Service,
+    upstream: arguments.Upstream,
+    address: typing.Annotated[str, typer.Option(help="ip:port of the host.")],
+    zone: typing.Annotated[str, typer.Option(help="Availability zone of the host.")],
+    weight: arguments.Weight = None,
+    connections: arguments.Connections = None,
+    slots: arguments.Slots = None,
+    state: arguments.State = None,
+    edit_id: arguments.EditId = "",
+) -> None:
+    """Add an upstream; columns that are not named get the usual values.
+
+    These are weight 1, 2000 connections, 2 slots and state active.
+    """
+    columns = changes.Columns(None, None, weight, connections, slots, state)
+    row = changes.replace_columns(tables.Row(upstream, address, zone), columns)
+    run_change(
+        context,
+        service,
+        edit_id,
+        True,
+        lambda chosen_id: changes.add_row(row, chosen_id),
+    )
+
+
+def remove(
+    context: typer.Context,
+    service: arguments.Service,
+    upstream: arguments.Upstream,
+    edit_id: arguments.EditId = "",
+    force: arguments.Force = False,
+) -> None:
+    """Remove an upstream.
+
+    Its established flows are lost. Drain it first and wait until they have ended.
+    """
+    run_change(
+        context,
+        service,
+        edit_id,
+        force,
+        lambda chosen_id: changes.remove_row(upstream, chosen_id),
+    )
+
+
+def drain(
+    context: typer.Context,
+    service: arguments.Service,
+    upstream: arguments.Upstream,
+    edit_id: arguments.EditId = "",
+    force: arguments.Force = False,
+) -> None:
+    """Give an upstream no new flows; its established flows stay."""
+    columns = changes.Columns(state="drain")
+    run_change(
+        context,
+        service,
+        edit_id,
+        force,
+        lambda chosen_id: changes.set_columns(upstream, columns, chosen_id),
+    )
+
+
+def undrain(
+    context: typer.Context,
+    service: arguments.Service,
+    upstream: arguments.Upstream,
+    edit_id: arguments.EditId = "",
+) -> None:
+    """Give an upstream new flows again."""
+    columns = changes.Columns(state="active")
+    run_change(
+        context,
+        service,
+        edit_id,
+        True,
+        lambda chosen_id: changes.set_columns(upstream, columns, chosen_id),
+    )
+
+
+def create(
+    context: typer.Context,
+    service: arguments.Service,
+    file: typing.Annotated[
+        pathlib.Path | None,
+        typer.Argument(
+            help="CSV file with the first rows, as `export` writes it for another "
+            "service, with this service's name and version 0 on the first line."
+        ),
+    ] = None,
+    edit_id: arguments.EditId = "",
+) -> None:
+    """Create a service, without rows or with those of a CSV file."""
+
+    async def body(environment: console.Environment) -> console.ExitCode:
+        chosen_id = edit_id or environment.make_id()
+        edit = tables.Edit(chosen_id)
+        if file is not None:
+            sheet = read_sheet(file)
+            imports.check_service(service, sheet)
+            edit = tables.Edit(chosen_id, sheet.rows)
+        result = await edits.create_table(
+            environment.store, service, edit, environment.make_author()
+        )
+        rendering.show_result(result, context.obj.as_json)
+        return console.ExitCode.DONE
+
+    console.run_body(context, body)
--- /dev/null
+++ b/src/pistachioshed/apps/operator.py
@@ -0,0 +1,174 @@
+"""The operators' command line: show and edit service tables."""
+
+import pathlib
+import typing
+
+import typer
+from twisted.internet import task
+
+from pistachioshed.apps import arguments, console, editing, rendering
+from pistachioshed.operations import audit as audit_trail
+from pistachioshed.operations import edits, sheets, status
+
+POLL_SECONDS: typing.Final = 0.5
+
+HELP: typing.Final = """Show and edit the tables that the balancers follow.
+
+An edit is checked, written to the store and then in force on all balancers within
+seconds; `versions SERVICE --wait` tells when. Two operators may edit one table at the
+same time: edits of different rows are merged, edits of one row are refused.
+
+Exit codes: 0 done; 1 refused, in conflict with another edit, or not in force in time;
+2 wrong usage or settings; 3 the outcome is not known, repeat the command with the edit
+id that it names; 4 the store can not be reached and nothing was changed.
+"""
+
+app = typer.Typer(
+    help=HELP,
+    no_args_is_help=True,
+    add_completion=False,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+)
+
+
+@app.callback()
+def set_options(
+    context: typer.Context,
+    settings: typing.Annotated[
+        pathlib.Path,
+        typer.Option(
+            envvar="PISTACHIOSHED_SETTINGS",
+            help="INI file with the store's addresses, [store] addresses, and your "
+            "name for the audit trail, [operator] name.",
+        ),
+    ] = pathlib.Path("pistachioshed.ini"),
+    as_json: typing.Annotated[
+        bool,
+        typer.Option(
+            "--json",
+            help="Print JSON, one document on one line; stands before the command.",
+        ),
+    ] = False,
+) -> None:
+    """Take the options that stand before the command."""
+    run = context.obj or console.run_in_reactor
+    context.obj = console.Options(settings, as_json, run)
+
+
+@app.command()
+def show(context: typer.Context, service: arguments.Service) -> None:
+    """Show the newest table of a service."""
+
+    async def body(environment: console.Environment) -> console.ExitCode:
+        table = await edits.read_table(environment.store, service)
+        rendering.show_table(table, context.obj.as_json)
+        return console.ExitCode.DONE
+
+    console.run_body(context, body)
+
+
+@app.command()
+def export(
+    context: typer.Context,
+    service: arguments.Service,
+    file: typing.Annotated[
+        pathlib.Path | None,
+        typer.Argument(help="CSV file to write; standard output if omitted."),
+    ] = None,
+) -> None:
+    """Write a service's table as CSV, to be edited and then applied.
+
+    The first line holds the version. Keep it: it is how `apply` knows which rows you
+    changed, and which ones others changed in the meantime.
+    """
+
+    async def body(environment: console.Environment) -> console.ExitCode:
+        table = await edits.read_table(environment.store, service)
+        text = sheets.format_sheet(table)
+        if file is None:
+            typer.echo(text, nl=False)
+        else:
+            file.write_text(text, encoding="utf-8")
+            typer.echo(f"{service}: version {table.version} written to {file}")
+        return console.ExitCode.DONE
+
+    console.run_body(context, body)
+
+
+@app.command()
+def versions(
+    context: typer.Context,
+    service: arguments.Service,
+    wait: typing.Annotated[
+        bool,
+        typer.Option(
+            "--wait", help="Wait until all nodes have the newest version in force."
+        ),
+    ] = False,
+    timeout: typing.Annotated[
+        float, typer.Option(help="Seconds to wait at most.", min=0.0)
+    ] = 30.0,
+) -> None:
+    """Show which node has which version of a service in force.
+
+    The newest version is the one at the start of the command; later edits do not
+    prolong the wait.
+    """
+
+    async def body(environment: console.Environment) -> console.ExitCode:
+        store, clock = environment.store, environment.clock
+        newest = (await edits.read_table(store, service)).version
+        end = clock.seconds() + timeout
+        while True:
+            nodes = status.list_versions(await status.read_status(store), service)
+            in_force = status.is_in_force(nodes, newest)
+            if in_force or not wait or clock.seconds() >= end:
+                break
+            await task.deferLater(clock, POLL_SECONDS)
+        rendering.show_versions(service, newest, nodes, context.obj.as_json)
+        if wait and not in_force:
+            raise console.NotInForce(service, newest, timeout)
+        return console.ExitCode.DONE
+
+    console.run_body(context, body)
+
+
+@app.command()
+def audit(
+    context: typer.Context,
+    service: arguments.Service,
+    limit: typing.Annotated[
+        int,
+        typer.Option(help="The most edits to show.", min=1, max=500),
+    ] = 20,
+) -> None:
+    """Show who changed what: the last edits, newest first, and the refused ones."""
+
+    async def body(environment: console.Environment) -> console.ExitCode:
+        store = environment.store
+        await edits.read_table(store, service)
+        records = await audit_trail.read_records(store, service, limit)
+        refusals = await audit_trail.read_refusals(store, service)
+        rendering.show_audit(records, refusals[:limit], context.obj.as_json)
+        return console.ExitCode.DONE
+
+    console.run_body(context, body)
+
+
+app.command()(editing.apply)
+app.command("set")(editing.set_row)
+app.command()(editing.add)
+app.command()(editing.remove)
+app.command()(editing.drain)
+app.command()(editing.undrain)
+app.command()(editing.create)
+
+
+def main() -> None:
+    """Run the command line."""
+    app(prog_name="pistachioshed")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/pistachioshed/operations/changes.py
@@ -0,0 +1,71 @@
+"""The edits that single commands make, as functions of the current table."""
+
+import typing
+
+from pistachioshed.core import tables
+from pistachioshed.operations import edits, rules
+
+
+class Columns(typing.NamedTuple):
+    """New values of a row's columns; None keeps the present value."""
+
+    address: str | None = None
+    zone: str | None = None
+    weight: float | None = None
+    connections: int | None = None
+    slots: int | None = None
+    state: tables.RowState | None = None
+
+
+def set_columns(upstream: str, columns: Columns, edit_id: str) -> edits.BuildEdit:
+    """Return the edit that changes columns of a row."""
+
+    def build(table: tables.Table) -> tables.Edit:
+        row = find_row(table, upstream)
+        return tables.Edit(edit_id, (replace_columns(row, columns),))
+
+    return build
+
+
+def replace_columns(row: tables.Row, columns: Columns) -> tables.Row:
+    """Return a row with the given columns replaced."""
+    given = {name: v for name, v in columns._asdict().items() if v is not None}
+    return row._replace(**given)
+
+
+def add_row(row: tables.Row, edit_id: str) -> edits.BuildEdit:
+    """Return the edit that adds a row; the name must be new."""
+
+    def build(table: tables.Table) -> tables.Edit:
+        if any(other.upstream == row.upstream for other in table.rows):
+            reason = f"{row.upstream}: the row exists, change it by set"
+            raise rules.EditRefused(table.service, (row.upstream,), reason)
+        return tables.Edit(edit_id, (row,))
+
+    return build
+
+
+def remove_row(upstream: str, edit_id: str) -> edits.BuildEdit:
+    """Return the edit that removes a row."""
+
+    def build(table: tables.Table) -> tables.Edit:
+        find_row(table, upstream)
+        return tables.Edit(edit_id, removals=(upstream,))
+
+    return build
+
+
+def find_row(table: tables.Table, upstream: str) -> tables.Row:
+    """Return the row of an upstream.
+
+    Raises
+    ------
+    EditRefused
+        If there is none; it names the rows that there are.
+    """
+    for row in table.rows:
+        if row.upstream == upstream:
+            return row
+    names = ", ".join(row.upstream for row in table.rows) or "none"
+    reason = f"there is no row {upstream!r}; rows: {names}"
+    raise rules.EditRefused(table.service, (upstream,), reason)
--- /dev/null
+++ b/src/pistachioshed/operations/documents.py
@@ -0,0 +1,104 @@
+"""Keys of the store and the JSON documents of service tables."""
+
+import re
+import typing
+
+import msgspec
+
+from pistachioshed.core import tables
+
+TABLES_PREFIX: typing.Final = "/pistachioshed/tables/"
+SERVICE_PATTERN: typing.Final = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+SERVICE_RULE: typing.Final = (
+    "1 to 63 of a-z, 0-9 and hyphen, with no hyphen at either end"
+)
+
+
+class RowDocument(typing.TypedDict):
+    """One row of a table in the store."""
+
+    upstream: str
+    address: str
+    zone: str
+    weight: float
+    connections: int
+    slots: int
+    state: tables.RowState
+
+
+class TableDocument(typing.TypedDict):
+    """A table in the store."""
+
+    service: str
+    version: int
+    edit_id: str
+    rows: list[RowDocument]
+
+
+class ServiceNameError(ValueError):
+    """A service name that is not allowed."""
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        super().__init__(f"service {service!r}: {SERVICE_RULE}")
+
+
+class DocumentError(ValueError):
+    """A value in the store that is not the document that its key calls for."""
+
+    def __init__(self, key: str, cause: str) -> None:
+        self.key = key
+        self.cause = cause
+        super().__init__(f"read {key}: {cause}")
+
+
+def make_table_key(service: str) -> str:
+    """Return the key of a service's table.
+
+    Raises
+    ------
+    ServiceNameError
+        If the name is not allowed.
+    """
+    if not SERVICE_PATTERN.fullmatch(service):
+        raise ServiceNameError(service)
+    return TABLES_PREFIX + service
+
+
+def make_table_document(table: tables.Table) -> TableDocument:
+    """Return a table as a document."""
+    rows = [typing.cast(RowDocument, row._asdict()) for row in table.rows]
+    return TableDocument(
+        service=table.service,
+        version=table.version,
+        edit_id=table.edit_id,
+        rows=rows,
+    )
+
+
+def encode_table(table: tables.Table) -> bytes:
+    """Return a table's value in the store."""
+    return msgspec.json.encode(make_table_document(table))
+
+
+def decode_table(key: str, value: bytes) -> tables.Table:
+    """Return the table of a value in the store.
+
+    Raises
+    ------
+    DocumentError
+        If the value is not a valid table or is the table of another service.
+    """
+    try:
+        document = msgspec.json.decode(value, type=TableDocument)
+    except msgspec.DecodeError as cause:
+        raise DocumentError(key, str(cause)) from cause
+    if TABLES_PREFIX + document["service"] != key:
+        raise DocumentError(key, f"holds the table of {document['service']!r}")
+    rows = tuple(tables.Row(**row) for row in document["rows"])
+    table = tables.Table(
+        document["service"], document["version"], rows, document["edit_id"]
+    )
+    for fault in tables.find_row_errors(table):
+        raise DocumentError(key, str(fault)) from fault
+    return table
--- /dev/null
+++ b/src/pistachioshed/operations/edits.py
@@ -0,0 +1,262 @@
+"""Apply edits to service tables by compare-and-swap."""
+
+import contextlib
+import typing
+from collections import abc
+
+from pistachioshed.core import tables
+from pistachioshed.operations import audit, commits, documents, rules
+from pistachioshed.ports import store as store_port
+
+# Records read beyond the expected ones, for edits that land between two reads.
+SPARE_RECORDS: typing.Final = 16
+
+BuildEdit = abc.Callable[[tables.Table], tables.Edit]
+
+
+class Snapshot(typing.NamedTuple):
+    """A table and the revision of its last change."""
+
+    table: tables.Table
+    mod_revision: int
+
+
+async def read_table(store: store_port.Store, service: str) -> tables.Table:
+    """Read a service's table.
+
+    Raises
+    ------
+    ServiceUnknown
+        If there is none.
+    """
+    return (await _read_snapshot(store, service)).table
+
+
+async def create_table(
+    store: store_port.Store, service: str, edit: tables.Edit, author: commits.Author
+) -> commits.Result:
+    """Create a service with the rows of an edit, which may be none.
+
+    Raises
+    ------
+    EditRefused, ExceptionGroup
+        If the service exists, an address belongs to another one or a row is faulty.
+    OutcomeUnknown
+        If the answer was lost and the store can not be asked.
+    """
+    key = documents.make_table_key(service)
+    empty = tables.Table(service, 0, ())
+
+    async def prepare() -> commits.Plan | commits.Result:
+        table = tables.apply_edit(empty, edit)
+        answer = await store.get(key)
+        if answer.pair is not None:
+            return await _find_edit(store, service, edit.edit_id)
+        absent = store_port.Compare(key, "create", 0)
+        free = await _check_addresses(store, service, edit.upserts)
+        record = audit.make_record(empty, table, 0, *author, "created")
+        return commits.Plan((absent, *free), table, record)
+
+    names = tables.list_edited_rows(edit)
+    async with record_refusals(store, service, edit.edit_id, 0, author, names):
+        return await commits.commit_edit(store, service, edit.edit_id, prepare)
+
+
+async def _find_edit(
+    store: store_port.Store, service: str, edit_id: str
+) -> commits.Result:
+    for record in await audit.read_records(store, service):
+        if record.edit_id == edit_id:
+            return commits.make_result("replayed", record)
+    raise rules.EditRefused(service, (), "the service exists already")
+
+
+async def change_table(
+    store: store_port.Store,
+    service: str,
+    edit_id: str,
+    build: BuildEdit,
+    author: commits.Author,
+    force: bool = False,
+    repeated: bool = False,
+) -> commits.Result:
+    """Build an edit from the current table and apply it.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    service : str
+        The service.
+    edit_id : str
+        The edit's id.
+    build : callable
+        Makes the edit from the table's current version.
+    author : Author
+        For the audit trail.
+    force : bool
+        Whether the edit may leave the service without an active row.
+    repeated : bool
+        Whether an earlier call may have applied the edit; it is then looked up first,
+        since its rows may have changed again.
+
+    Returns
+    -------
+    Result
+        With the outcome "replayed" if the edit had been applied before.
+
+    Raises
+    ------
+    EditConflict, EditRefused, ExceptionGroup
+        If the edit is not allowed.
+    OutcomeUnknown
+        If the answer was lost and the store can not be asked.
+    """
+    table = await read_table(store, service)
+    if repeated:
+        for record in await audit.read_records(store, service):
+            if record.edit_id == edit_id:
+                return commits.make_result("replayed", record)
+    async with record_refusals(store, service, edit_id, table.version, author):
+        edit = build(table)
+    return await apply_edit(store, service, edit, table.version, author, force)
+
+
+async def apply_edit(
+    store: store_port.Store,
+    service: str,
+    edit: tables.Edit,
+    base_version: int,
+    author: commits.Author,
+    force: bool = False,
+) -> commits.Result:
+    """Apply an edit that was made from a table's base version.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    service : str
+        The service.
+    edit : Edit
+        The rows to change; its id must be unique.
+    base_version : int
+        The version that the author saw.
+    author : Author
+        For the audit trail.
+    force : bool
+        Whether the edit may leave the service without an active row.
+
+    Returns
+    -------
+    Result
+        With the version that holds the edit.
+
+    Raises
+    ------
+    EditConflict, EditRefused, ExceptionGroup
+        If the edit is not allowed; it is recorded as refused.
+    OutcomeUnknown
+        If the answer was lost and the store can not be asked.
+    """
+
+    async def prepare() -> commits.Plan | commits.Result:
+        current = await _read_snapshot(store, service)
+        newer = await read_newer(store, current.table, base_version)
+        for record in newer:
+            if record.edit_id == edit.edit_id:
+                return commits.make_result("replayed", record)
+        edited = rules.merge_edit(current.table, edit, newer, force)
+        if edited.rows == current.table.rows:
+            version = current.table.version
+            return commits.Result("unchanged", service, version, edit.edit_id)
+        key = documents.make_table_key(service)
+        unchanged = store_port.Compare(key, "mod", current.mod_revision)
+        added = rules.list_added_rows(current.table, edit)
+        free = await _check_addresses(store, service, added)
+        result: audit.Result = "merged" if newer else "applied"
+        record = audit.make_record(current.table, edited, base_version, *author, result)
+        return commits.Plan((unchanged, *free), edited, record)
+
+    names = tables.list_edited_rows(edit)
+    async with record_refusals(
+        store, service, edit.edit_id, base_version, author, names
+    ):
+        return await commits.commit_edit(store, service, edit.edit_id, prepare)
+
+
+@contextlib.asynccontextmanager
+async def record_refusals(
+    store: store_port.Store,
+    service: str,
+    edit_id: str,
+    base_version: int,
+    author: commits.Author,
+    upstreams: abc.Iterable[str] = (),
+) -> abc.AsyncIterator[None]:
+    """Record the refusal of an edit that is tried in the context.
+
+    A refusal that passes several contexts is recorded by the innermost, which knows
+    most about the edit.
+    """
+    try:
+        yield
+    except (rules.EditConflict, rules.EditRefused, ExceptionGroup) as error:
+        faults = error.exceptions if isinstance(error, ExceptionGroup) else (error,)
+        reason = "; ".join(str(fault) for fault in faults)
+        names = tuple(sorted(upstreams))
+        refusal = audit.Refusal(service, base_version, edit_id, *author, names, reason)
+        await audit.record_refusal(store, refusal)
+        raise
+
+
+async def read_newer(
+    store: store_port.Store, table: tables.Table, base_version: int
+) -> tuple[audit.Record, ...]:
+    """Read the edits from a base version up to a table's version, newest first.
+
+    Raises
+    ------
+    EditConflict
+        If the audit trail does not reach back to the base version.
+    EditRefused
+        If the table never had the base version.
+    """
+    count = table.version - base_version
+    if count < 0:
+        reason = f"made from version {base_version}, the newest is {table.version}"
+        raise rules.EditRefused(table.service, (), reason)
+    if count == 0:
+        return ()
+    records = await audit.read_records(store, table.service, count + SPARE_RECORDS)
+    newer = tuple(r for r in records if base_version < r.version <= table.version)
+    if len(newer) < count:
+        reason = f"the audit trail no longer reaches back to version {base_version}"
+        winner = f"{count} later edits"
+        raise rules.EditConflict(table.service, (), winner, reason)
+    return newer
+
+
+async def _read_snapshot(store: store_port.Store, service: str) -> Snapshot:
+    answer = await store.get(documents.make_table_key(service))
+    if answer.pair is None:
+        raise rules.ServiceUnknown(service)
+    table = documents.decode_table(answer.pair.key, answer.pair.value)
+    return Snapshot(table, answer.pair.mod_revision)
+
+
+async def _check_addresses(
+    store: store_port.Store,
+    service: str,
+    added: abc.Sequence[tables.Row],
+) -> tuple[store_port.Compare, ...]:
+    """Check added addresses; the returned conditions keep the check true."""
+    if not added:
+        return ()
+    answer = await store.get_prefix(documents.TABLES_PREFIX)
+    others = [documents.decode_table(pair.key, pair.value) for pair in answer.pairs]
+    rules.check_addresses(service, added, others)
+    prefix = documents.TABLES_PREFIX
+    return (
+        store_port.Compare(prefix, "mod", answer.revision + 1, "less", prefix=True),
+    )
--- /dev/null
+++ b/src/pistachioshed/operations/rules.py
@@ -0,0 +1,159 @@
+"""Rules that an edit must keep, and the errors that say which one it breaks."""
+
+import ipaddress
+from collections import abc
+
+from pistachioshed.core import tables
+from pistachioshed.operations import audit
+
+
+class EditConflict(Exception):
+    """An edit that can not be merged with one that came first.
+
+    `upstreams` are the rows in dispute and `winner` is the edit that came first.
+    """
+
+    def __init__(
+        self, service: str, upstreams: abc.Iterable[str], winner: str, reason: str
+    ) -> None:
+        self.service = service
+        self.upstreams = tuple(sorted(upstreams))
+        self.winner = winner
+        self.reason = reason
+        names = ", ".join(self.upstreams)
+        super().__init__(f"{service}: conflict with {winner}: {reason}: {names}")
+
+
+class EditRefused(Exception):
+    """An edit that breaks a rule."""
+
+    def __init__(self, service: str, upstreams: abc.Iterable[str], reason: str) -> None:
+        self.service = service
+        self.upstreams = tuple(sorted(upstreams))
+        self.reason = reason
+        super().__init__(f"{service}: refused: {reason}")
+
+
+class ServiceUnknown(Exception):
+    """A service without a table."""
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        super().__init__(f"{service}: there is no such service")
+
+
+class OutcomeUnknown(Exception):
+    """An edit that was sent and may or may not have taken effect."""
+
+    def __init__(self, service: str, edit_id: str, cause: Exception) -> None:
+        self.service = service
+        self.edit_id = edit_id
+        super().__init__(
+            f"{service}: edit {edit_id} may or may not have taken effect, "
+            f"repeat it with --edit-id {edit_id}: {cause}"
+        )
+
+
+def merge_edit(
+    table: tables.Table,
+    edit: tables.Edit,
+    newer: abc.Sequence[audit.Record],
+    force: bool = False,
+) -> tables.Table:
+    """Apply an edit to the current table.
+
+    Parameters
+    ----------
+    table : Table
+        The current version.
+    edit : Edit
+        The rows to change, made from an earlier or the current version.
+    newer : sequence of Record
+        The edits since the version that the edit was made from, newest first.
+    force : bool
+        Whether the edit may leave no active row. It counts only for an edit made from
+        the current version, since its author saw the rows that stay.
+
+    Returns
+    -------
+    Table
+        The next version.
+
+    Raises
+    ------
+    EditConflict
+        If an edit since then changed one of the rows, or the result is not valid or
+        has no active row.
+    EditRefused, ExceptionGroup
+        The latter two, if there was no edit since then.
+    """
+    touched = tables.list_edited_rows(edit)
+    for record in newer:
+        disputed = touched & audit.list_changed_rows(record)
+        if disputed:
+            winner = describe_edit(record)
+            raise EditConflict(table.service, disputed, winner, "it changed rows")
+    try:
+        edited = tables.apply_edit(table, edit)
+    except ExceptionGroup as cause:
+        if not newer:
+            raise
+        reason = "; ".join(str(fault) for fault in cause.exceptions)
+        winner = describe_edit(newer[0])
+        raise EditConflict(table.service, touched, winner, reason) from cause
+    if tables.count_active_rows(edited) == 0:
+        if newer:
+            winner = describe_edit(newer[0])
+            reason = "together they leave no active row"
+            raise EditConflict(table.service, touched, winner, reason)
+        if not force:
+            reason = "no active row would be left; --force applies the edit anyway"
+            raise EditRefused(table.service, touched, reason)
+    return edited
+
+
+def describe_edit(record: audit.Record) -> str:
+    """Return the words that name an applied edit in messages."""
+    return f"edit {record.edit_id} by {record.who} (version {record.version})"
+
+
+def list_added_rows(table: tables.Table, edit: tables.Edit) -> tuple[tables.Row, ...]:
+    """Return the rows of an edit whose addresses the table does not have."""
+    present = {normalize_address(row.address) for row in table.rows}
+    return tuple(
+        row for row in edit.upserts if normalize_address(row.address) not in present
+    )
+
+
+def check_addresses(
+    service: str, added: abc.Iterable[tables.Row], others: abc.Iterable[tables.Table]
+) -> None:
+    """Check that no other service uses the addresses of added rows.
+
+    Raises
+    ------
+    EditRefused
+        Naming all rows and services in question; a host of two services could get
+        one service's packets from flows of the other.
+    """
+    owners = {
+        normalize_address(row.address): other.service
+        for other in others
+        if other.service != service
+        for row in other.rows
+    }
+    taken = {
+        row.upstream: owners[normalize_address(row.address)]
+        for row in added
+        if normalize_address(row.address) in owners
+    }
+    if taken:
+        uses = ", ".join(f"{name} (of {taken[name]})" for name in sorted(taken))
+        reason = f"addresses that another service's table uses: {uses}"
+        raise EditRefused(service, taken, reason)
+
+
+def normalize_address(address: str) -> tuple[str, int]:
+    """Return an address in a form that is equal for equal endpoints."""
+    host, port = tables.parse_address(address)
+    return ipaddress.ip_address(host).compressed, port
--- a/standins/store.py
+++ b/standins/store.py
@@ -25,7 +25,8 @@
     """Faults in force.
 
     `lose_answers` and `drop_writes` count the next writes that lose their answer after
-    and before they take effect; `silence_watches` keeps the watches that are open now
+    and before they take effect; `late_writes` counts those that lose it and take effect
+    `late_seconds` later; `silence_watches` keeps the watches that are open now
     from getting anything more.
     """
 
@@ -33,6 +34,8 @@
     delay_seconds: float = 0.0
     lose_answers: int = 0
     drop_writes: int = 0
+    late_writes: int = 0
+    late_seconds: float = 0.0
     expire_lease: int = 0
     silence_watches: bool = False
     compact: int = 0
@@ -170,6 +173,9 @@
                 await task.deferLater(state.clock, state.faults.delay_seconds)
             if state.faults.down or (writes and take_fault(state, "drop_writes")):
                 await cut(request)
+            if writes and take_fault(state, "late_writes"):
+                state.clock.callLater(state.faults.late_seconds, answer, message)
+                await cut(request)
             result = answer(message)
             if writes and take_fault(state, "lose_answers"):
                 await cut(request)
@@ -250,7 +256,9 @@
 
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--address", required=True, help="ip:port to listen at")
-    serve_store(reactor, parser.parse_args().address)
+    _, listening = serve_store(reactor, parser.parse_args().address)
+    host = typing.cast(typing.Any, listening).getHost()
+    print(f"listening at {host.host}:{host.port}", flush=True)
     typing.cast(typing.Any, reactor).run()
 
 
