--- /dev/null
+++ b/src/pistachioshed/adapters/bus.py
@@ -0,0 +1,222 @@
+"""Publish/subscribe and request/reply between control processes, by pynng."""
+
+import asyncio
+import itertools
+import typing
+from collections import abc
+
+import pynng
+
+from pistachioshed.adapters import subscription
+from pistachioshed.core import controls, digests, tables
+from pistachioshed.ports import peers
+
+QUEUE_LENGTH: typing.Final = 256
+FETCH_TIMEOUT_S: typing.Final = 1.0
+TOPICS: typing.Final[dict[type, bytes]] = {
+    digests.Digest: b"d",
+    digests.TableMessage: b"t",
+    digests.ProbesMessage: b"p",
+    digests.FetchRequest: b"q",
+    digests.FetchReply: b"r",
+}
+PUBLISHED: typing.Final = (b"d", b"t", b"p")
+
+Count = abc.Callable[..., None]
+
+
+class Bus:
+    """The sockets of one control process.
+
+    Publications are sent from the bus address, fetches are answered at the next
+    port. Each socket belongs to one task, which is talked to by a queue.
+
+    Parameters
+    ----------
+    name : str
+        The name of this control.
+    key : bytes
+        The key of the deployment, which authenticates every message.
+    deliver : callable
+        Called with each event.
+    count : callable
+        Called with a metric name, an amount and labels.
+    silence_s : float
+        A subscription that is silent for this long is dialled again.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        key: bytes,
+        deliver: peers.Deliver,
+        count: Count,
+        silence_s: float,
+    ) -> None:
+        self.name = name
+        self.key = key
+        self.deliver = deliver
+        self.count = count
+        self.silence_s = silence_s
+        self.publisher = pynng.Pub0()
+        self.replier = pynng.Rep0(
+            recv_max_size=digests.MAX_MESSAGE_BYTES,
+            send_timeout=round(FETCH_TIMEOUT_S * 1000),
+        )
+        self.outbox: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_LENGTH)
+        self.requests = itertools.count(1)
+        self.answers: asyncio.Queue[tuple[int, bytes]] = asyncio.Queue()
+        self.subscriptions: dict[str, subscription.Subscription] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def listen(self, address: str) -> None:
+        """Listen at the bus address "ip:port" and the port after it."""
+        self.publisher.listen(f"tcp://{address}")
+        self.replier.listen(f"tcp://{shift_port(address, 1)}")
+        self._start(self._send_publications())
+        self._start(self._answer_requests())
+
+    def publish(
+        self, message: digests.Digest | digests.TableMessage | digests.ProbesMessage
+    ) -> None:
+        """Queue a message for all subscribers; a full queue drops the oldest."""
+        if self.outbox.full():
+            self.outbox.get_nowait()
+            self.count("bus_drops", reason="queue")
+        self.outbox.put_nowait(self._encode(message))
+
+    def subscribe(self, peers: abc.Sequence[tuple[str, str]]) -> None:
+        """Hold subscriptions to exactly these (name, bus address) pairs."""
+        wanted = dict(peers)
+        for name, current in list(self.subscriptions.items()):
+            if wanted.get(name) != current.address:
+                current.close()
+                del self.subscriptions[name]
+        for name, address in wanted.items():
+            if name not in self.subscriptions:
+                self.subscriptions[name] = subscription.Subscription(
+                    name, address, PUBLISHED, self.silence_s, self._receive, self.count
+                )
+
+    def fetch(self, peer: str, bus: str, have: dict[str, int]) -> None:
+        """Start a fetch from a peer."""
+        self._start(self._fetch(peer, shift_port(bus, 1), have))
+
+    def answer(self, request: int, found: tuple[tables.Table, ...]) -> None:
+        """Answer a request."""
+        reply = self._encode(digests.FetchReply(self.name, found))
+        self.answers.put_nowait((request, reply))
+
+    def close(self) -> None:
+        """End all tasks and close all sockets."""
+        for current in self.subscriptions.values():
+            current.close()
+        for task in self.tasks:
+            task.cancel()
+        self.publisher.close()
+        self.replier.close()
+
+    def _start(self, work: abc.Coroutine[object, object, None]) -> None:
+        task = asyncio.get_event_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _encode(self, message: digests.Message) -> bytes:
+        return digests.encode_message(message, TOPICS[type(message)], self.key)
+
+    async def _send_publications(self) -> None:
+        while True:
+            payload = await self.outbox.get()
+            await self.publisher.asend(payload)
+            receivers = len(self.publisher.pipes)
+            self.count("bus_bytes_out", len(payload) * receivers, kind="publish")
+
+    def _receive(self, peer: str, payload: bytes) -> None:
+        """Decode a publication and deliver it if it names its publisher."""
+        self.count("bus_bytes_in", len(payload), kind="publish")
+        try:
+            event = self._decode_publication(payload)
+        except digests.DigestError:
+            self.count("bus_drops", reason="bad message", peer=peer)
+            return
+        if isinstance(event, controls.DigestReceived):
+            sender = event.digest.node
+        else:
+            sender = event.peer
+        if sender != peer:
+            self.count("bus_drops", reason="other sender", peer=peer)
+            return
+        self.deliver(event)
+
+    def _decode_publication(
+        self, payload: bytes
+    ) -> controls.DigestReceived | controls.TableReceived | controls.ProbesReceived:
+        topic = payload[:1]
+        if topic == TOPICS[digests.TableMessage]:
+            table = digests.decode_message(
+                payload, topic, self.key, digests.TableMessage
+            )
+            return controls.TableReceived(*table)
+        if topic == TOPICS[digests.ProbesMessage]:
+            probes = digests.decode_message(
+                payload, topic, self.key, digests.ProbesMessage
+            )
+            return controls.ProbesReceived(*probes)
+        digest = digests.decode_message(
+            payload, TOPICS[digests.Digest], self.key, digests.Digest
+        )
+        return controls.DigestReceived(digest)
+
+    async def _answer_requests(self) -> None:
+        topic = TOPICS[digests.FetchRequest]
+        while True:
+            payload = await self.replier.arecv()
+            self.count("bus_bytes_in", len(payload), kind="fetch")
+            try:
+                request = digests.decode_message(
+                    payload, topic, self.key, digests.FetchRequest
+                )
+            except digests.DigestError:
+                self.count("bus_drops", reason="bad request")
+                continue
+            number = next(self.requests)
+            self.deliver(controls.FetchRequested(number, request.have))
+            answered = 0
+            while answered != number:
+                answered, reply = await self.answers.get()
+            try:
+                await self.replier.asend(reply)
+            except pynng.NNGException:
+                self.count("bus_drops", reason="requester gone")
+                continue
+            self.count("bus_bytes_out", len(reply), kind="fetch")
+
+    async def _fetch(self, peer: str, address: str, have: dict[str, int]) -> None:
+        request = self._encode(digests.FetchRequest(self.name, have))
+        timeout_ms = round(FETCH_TIMEOUT_S * 1000)
+        topic = TOPICS[digests.FetchReply]
+        try:
+            with pynng.Req0(
+                recv_max_size=digests.MAX_MESSAGE_BYTES,
+                send_timeout=timeout_ms,
+                recv_timeout=timeout_ms,
+            ) as socket:
+                socket.dial(f"tcp://{address}", block=False)
+                await socket.asend(request)
+                self.count("bus_bytes_out", len(request), kind="fetch")
+                payload = await socket.arecv()
+            self.count("bus_bytes_in", len(payload), kind="fetch")
+            reply = digests.decode_message(payload, topic, self.key, digests.FetchReply)
+        except (pynng.NNGException, digests.DigestError) as error:
+            self.count("fetches", result="failed")
+            reason = f"fetch from {address}: {error}"
+            self.deliver(controls.FetchFailed(peer, reason))
+            return
+        self.count("fetches", result="answered")
+        self.deliver(controls.FetchAnswered(peer, reply.tables))
+
+
+def shift_port(address: str, offset: int) -> str:
+    """Return "ip:port" with the port raised by an offset."""
+    host, _, port = address.rpartition(":")
+    return f"{host}:{int(port) + offset}"
--- /dev/null
+++ b/src/pistachioshed/adapters/countedstore.py
@@ -0,0 +1,52 @@
+"""The store port with a count of all calls by kind."""
+
+from collections import abc
+
+from pistachioshed.ports import store
+
+
+class CountedStore:
+    """Passes calls on to a store and counts them; a watch counts as one call."""
+
+    def __init__(self, inner: store.Store, count: abc.Callable[..., None]) -> None:
+        self.inner = inner
+        self.count = count
+
+    async def get(self, key: str) -> store.GetAnswer:
+        """Read one key."""
+        self.count("store_calls", kind="get")
+        return await self.inner.get(key)
+
+    async def get_prefix(
+        self, prefix: str, limit: int = 0, descending: bool = False
+    ) -> store.RangeAnswer:
+        """Read the pairs below a prefix."""
+        self.count("store_calls", kind="get_prefix")
+        return await self.inner.get_prefix(prefix, limit, descending)
+
+    async def transact(
+        self, compares: abc.Sequence[store.Compare], writes: abc.Sequence[store.Write]
+    ) -> store.TransactAnswer:
+        """Apply all writes if all conditions hold."""
+        self.count("store_calls", kind="transact")
+        return await self.inner.transact(compares, writes)
+
+    async def grant_lease(self, ttl_seconds: int) -> store.LeaseAnswer:
+        """Make a lease."""
+        self.count("store_calls", kind="grant_lease")
+        return await self.inner.grant_lease(ttl_seconds)
+
+    async def keep_alive(self, lease: int) -> store.LeaseAnswer:
+        """Extend a lease."""
+        self.count("store_calls", kind="keep_alive")
+        return await self.inner.keep_alive(lease)
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease."""
+        self.count("store_calls", kind="revoke_lease")
+        await self.inner.revoke_lease(lease)
+
+    def watch(self, prefix: str, revision: int, deliver: store.Deliver) -> store.Watch:
+        """Deliver all changes below a prefix from a revision on."""
+        self.count("store_calls", kind="watch")
+        return self.inner.watch(prefix, revision, deliver)
--- /dev/null
+++ b/src/pistachioshed/adapters/probes.py
@@ -0,0 +1,80 @@
+"""Probes of upstreams by HTTP: `/health` and `/load`, at the row's address.
+
+`/health` answers `{"status": "ok"}` or `{"status": "draining"}`, `/load` answers
+`{"load": SHARE}` with the share of the slots in use. Both are served over TCP at the
+row's IP number, at its port plus a configured offset (0 by default).
+"""
+
+import typing
+
+import msgspec
+import treq.client
+
+from pistachioshed.adapters import httpget
+from pistachioshed.core import tables
+from pistachioshed.ports import probes
+
+DEADLINE_S: typing.Final = 0.8
+MAX_ANSWER_BYTES: typing.Final = 65_536
+
+T = typing.TypeVar("T")
+
+
+class Health(msgspec.Struct):
+    """The answer of the health endpoint."""
+
+    status: str
+
+
+class Load(msgspec.Struct):
+    """The answer of the load endpoint."""
+
+    load: float
+
+
+class ProbeFailed(Exception):
+    """An endpoint gave no usable answer."""
+
+
+class HttpProber:
+    """Probes over HTTP, each endpoint with a deadline."""
+
+    def __init__(
+        self,
+        http: treq.client.HTTPClient,
+        port_offset: int,
+        clock: typing.Any,
+    ) -> None:
+        self.http = http
+        self.port_offset = port_offset
+        self.clock = clock
+
+    async def probe(self, address: str) -> probes.Outcome:
+        """Probe the upstream of a row's address; a failure is an outcome."""
+        host, port = tables.parse_address(address)
+        if ":" in host:
+            host = f"[{host}]"
+        base = f"http://{host}:{port + self.port_offset}"
+        started_at = self.clock.seconds()
+        try:
+            health = await self._ask(f"{base}/health", Health)
+        except ProbeFailed:
+            return probes.Outcome(False)
+        latency_s = round(self.clock.seconds() - started_at, 4)
+        draining = health.status == "draining"
+        ok = draining or health.status == "ok"
+        try:
+            load = (await self._ask(f"{base}/load", Load)).load
+        except ProbeFailed:
+            return probes.Outcome(ok, draining, None, latency_s)
+        share = round(load, 2) if 0 <= load <= 1_000 else None
+        return probes.Outcome(ok, draining, share, latency_s)
+
+    async def _ask(self, url: str, kind: type[T]) -> T:
+        try:
+            body = await httpget.read_url(
+                self.http, self.clock, url, DEADLINE_S, MAX_ANSWER_BYTES
+            )
+            return msgspec.json.decode(body, type=kind)
+        except (httpget.HttpFailed, msgspec.MsgspecError) as cause:
+            raise ProbeFailed from cause
--- /dev/null
+++ b/src/pistachioshed/adapters/vmlist.py
@@ -0,0 +1,71 @@
+"""The VM list over HTTP: a JSON array of the platform's VMs."""
+
+import typing
+
+import msgspec
+import treq.client
+
+from pistachioshed.adapters import httpget
+from pistachioshed.core import controls, events, tables
+from pistachioshed.ports import vmlist
+
+DEADLINE_S: typing.Final = 2.0
+MAX_ANSWER_BYTES: typing.Final = 4 * 1024 * 1024
+
+
+class ListedVm(msgspec.Struct):
+    """One VM of the answer; `control` is the bus address of its control process."""
+
+    name: str
+    zone: str
+    address: str
+    control: str
+    capacity: float = 1.0
+    leaving: bool = False
+
+
+class HttpVmList:
+    """Reads the list at a URL."""
+
+    def __init__(
+        self, url: str, http: treq.client.HTTPClient, clock: typing.Any
+    ) -> None:
+        self.url = url
+        self.http = http
+        self.clock = clock
+
+    async def read(self) -> tuple[controls.Member, ...]:
+        """Return the list, or raise `VmListError`."""
+        try:
+            body = await httpget.read_url(
+                self.http, self.clock, self.url, DEADLINE_S, MAX_ANSWER_BYTES
+            )
+        except httpget.HttpFailed as error:
+            raise vmlist.VmListError("read", self.url, error.cause) from error
+        try:
+            return decode_members(body)
+        except ValueError as error:
+            raise vmlist.VmListError("decode", self.url, str(error)) from error
+
+
+def decode_members(body: bytes) -> tuple[controls.Member, ...]:
+    """Decode the list.
+
+    Raises
+    ------
+    ValueError
+        If the body is no such list, or a VM has a wrong address or capacity.
+    """
+    listed = msgspec.json.decode(body, type=list[ListedVm])
+    for vm in listed:
+        tables.parse_address(vm.address)
+        tables.parse_address(vm.control)
+        if not 0 < vm.capacity < float("inf") or not vm.name or not vm.zone:
+            raise ValueError(f"VM {vm.name!r}: a name, a zone and a capacity above 0")
+    return tuple(
+        controls.Member(
+            events.Vm(vm.name, vm.zone, vm.address, vm.capacity, vm.leaving),
+            vm.control,
+        )
+        for vm in listed
+    )
--- /dev/null
+++ b/src/pistachioshed/apps/controldriver.py
@@ -0,0 +1,221 @@
+"""Carries out the actions of the control policy and feeds it its events."""
+
+import collections
+import typing
+from collections import abc
+
+from twisted.internet import defer, task
+
+from pistachioshed.adapters import jsonlog, metrics
+from pistachioshed.apps import storedriver
+from pistachioshed.core import controls, digests, distribution, events, link
+from pistachioshed.ports import peers, probes, store, vmlist
+
+TICK_S: typing.Final = 0.1
+CHECK_S: typing.Final = 1.0
+
+
+class Ports(typing.NamedTuple):
+    """The outside of a control process; `send` takes messages for its balancer."""
+
+    peers: peers.Peers
+    store: store.Store
+    vms: vmlist.VmList
+    prober: probes.Prober
+    send: abc.Callable[[bytes], None]
+
+
+class Driver:
+    """One control process: the policy, its ports and its timers.
+
+    Parameters
+    ----------
+    settings : controls.Settings
+        The settings of the policy.
+    seed : int
+        Seed of the policy's jitter.
+    seeds : tuple of controls.Member
+        The members assumed until the VM list can be read.
+    make_ports : callable
+        Makes the ports, given the function that takes events.
+    clock : IReactorTime
+        For timers.
+    now : callable
+        A monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: controls.Settings,
+        seed: int,
+        seeds: tuple[controls.Member, ...],
+        make_ports: abc.Callable[[peers.Deliver], Ports],
+        clock: typing.Any,
+        now: abc.Callable[[], float],
+        counts: metrics.Metrics,
+    ) -> None:
+        self.settings = settings
+        self.policy = distribution.Distributor(settings, seed)
+        self.seeds = seeds
+        self.clock = clock
+        self.now = now
+        self.metrics = counts
+        self.ports = make_ports(self.dispatch)
+        self.store = storedriver.StoreDriver(
+            settings, self.ports.store, self.dispatch, clock, now
+        )
+        self.pending: collections.deque[controls.Event] = collections.deque()
+        self.dispatching = False
+        self.listed = False
+        self.reported_at: float | None = None
+        self.loops: list[task.LoopingCall] = []
+        self.handlers: dict[type, abc.Callable[[typing.Any], object]] = {
+            controls.StartWatch: lambda action: self.store.start_watch(),
+            controls.StopWatch: lambda action: self.store.stop_watch(),
+            controls.ReadTable: lambda action: self.store.read_table(*action),
+            controls.GrantLease: lambda action: self.store.grant_lease(*action),
+            controls.RenewLease: lambda action: self.store.renew_lease(*action),
+            controls.DropLease: lambda action: self.store.drop_lease(*action),
+            controls.WriteStatus: lambda action: self.store.write_status(*action),
+            controls.Subscribe: lambda action: self.ports.peers.subscribe(*action),
+            controls.PublishTable: self._publish_table,
+            controls.PublishDigest: self._publish_digest,
+            controls.PublishProbes: self._publish_probes,
+            controls.FetchTables: lambda action: self.ports.peers.fetch(*action),
+            controls.AnswerFetch: lambda action: self.ports.peers.answer(*action),
+            controls.Deliver: self._deliver,
+            controls.ProbeUpstream: self._probe,
+            events.Notice: self._log_notice,
+        }
+
+    def start(self, list_interval_s: float) -> None:
+        """Start the timers."""
+        for function, interval_s in (
+            (self.tick, TICK_S),
+            (self.check, CHECK_S),
+            (self.read_vms, list_interval_s),
+        ):
+            loop = task.LoopingCall(function)
+            loop.clock = self.clock
+            loop.start(interval_s).addErrback(self._log_error, "timer")
+            self.loops.append(loop)
+
+    async def stop(self) -> None:
+        """Stop the timers, give up the lease and close the connections."""
+        for loop in self.loops:
+            if loop.running:
+                loop.stop()
+        self.store.stop_watch()
+        lease = self.policy.reporter.lease
+        if lease is not None:
+            await self.store.drop_lease(lease.lease)
+        self.ports.peers.close()
+
+    def dispatch(self, event: controls.Event) -> None:
+        """Let the policy handle an event and carry out its actions.
+
+        An action may bring an event at once; it is handled after the current one.
+        """
+        self.pending.append(event)
+        if self.dispatching:
+            return
+        self.dispatching = True
+        try:
+            while self.pending:
+                self._handle(self.pending.popleft())
+        finally:
+            self.dispatching = False
+
+    def _handle(self, event: controls.Event) -> None:
+        # A fault in one event must not end the task or timer that brought it.
+        try:
+            for action in self.policy.handle(event, self.now()):
+                self.handlers[type(action)](action)
+        except Exception:
+            step = f"handle {type(event).__name__}"
+            jsonlog.log_exception(step)
+            self.metrics.count("failures", step=step)
+
+    def receive_report(self, payload: bytes) -> None:
+        """Take a report of the local balancer."""
+        try:
+            report = link.decode_report(payload)
+        except link.LinkError as error:
+            jsonlog.log_failure("receive report", peer="balancer", error=str(error))
+            return
+        self.reported_at = self.now()
+        self.dispatch(controls.ReportReceived(report))
+
+    def tick(self) -> None:
+        """Tell the policy that time passed."""
+        self.dispatch(controls.Tick())
+
+    def check(self) -> None:
+        """Check the watch and publish the state of all connections."""
+        self.store.check_watch()
+        now = self.now()
+        for service, version in self.policy.catalogue.list_versions().items():
+            self.metrics.set_gauge("version_held", version, service=service)
+        roster = self.policy.roster
+        for name in roster.subscribed:
+            alive = not roster.is_silent(name, now)
+            self.metrics.set_gauge("peer_alive", alive, peer=name)
+        recent = self.reported_at is not None and now - self.reported_at < 3.0
+        self.metrics.set_gauge("balancer_alive", recent)
+        self.metrics.set_gauge("store_alive", bool(self.policy.watching.available))
+        status = self.policy.list_status(now).get(self.settings.name, {})
+        for service, version in status.items():
+            self.metrics.set_gauge("version_in_force", version, service=service)
+
+    def read_vms(self) -> defer.Deferred[None]:
+        """Read the VM list; on a failure the last list stays."""
+        return self.store.spawn("read VM list", self._read_vms())
+
+    async def _read_vms(self) -> None:
+        try:
+            members = await self.ports.vms.read()
+        except vmlist.VmListError as error:
+            jsonlog.log_failure(error.step, peer=error.peer, error=error.cause)
+            self.metrics.count("vm_list_reads", result="failed")
+            if not self.listed:
+                self.listed = True
+                self.dispatch(controls.MembersReceived(self.seeds))
+            return
+        self.metrics.count("vm_list_reads", result="answered")
+        self.listed = True
+        self.dispatch(controls.MembersReceived(members))
+
+    def _publish_table(self, action: controls.PublishTable) -> None:
+        self.metrics.count("published", kind="table")
+        message = digests.TableMessage(
+            self.settings.name, self.settings.zone, action.table
+        )
+        self.ports.peers.publish(message)
+
+    def _publish_digest(self, action: controls.PublishDigest) -> None:
+        self.metrics.count("published", kind="digest")
+        self.ports.peers.publish(action.digest)
+
+    def _publish_probes(self, action: controls.PublishProbes) -> None:
+        self.metrics.count("published", kind="probes")
+        message = digests.ProbesMessage(self.settings.name, action.results)
+        self.ports.peers.publish(message)
+
+    def _deliver(self, action: controls.Deliver) -> None:
+        self.ports.send(link.encode_message(action.update))
+
+    def _probe(self, action: controls.ProbeUpstream) -> None:
+        self.store.spawn("probe upstream", self._run_probe(action))
+
+    async def _run_probe(self, action: controls.ProbeUpstream) -> None:
+        outcome = await self.ports.prober.probe(action.address)
+        self.metrics.count("probes", result="ok" if outcome.ok else "failed")
+        result = events.ProbeReported(action.service, action.upstream, *outcome)
+        self.dispatch(controls.ProbeFinished(result))
+
+    def _log_notice(self, notice: events.Notice) -> None:
+        self.metrics.count("notices", notice=notice.name)
+        jsonlog.log_event(notice.name, **notice.fields)
+
+    def _log_error(self, reason: typing.Any, step: str) -> None:
+        jsonlog.log_failure(step, error=reason.getTraceback())
--- /dev/null
+++ b/src/pistachioshed/apps/controloptions.py
@@ -0,0 +1,170 @@
+"""Settings of the control process: their keys, checks and help texts."""
+
+import pathlib
+import typing
+
+from pistachioshed.adapters import ini
+from pistachioshed.core import controls, events, tables
+
+MIN_KEY_BYTES: typing.Final = 16
+MAX_KEY_BYTES: typing.Final = 64
+ADDRESS: typing.Final = "ip:port, with a port from 1 to 65535"
+NAME: typing.Final = "1 to 63 printable characters without spaces"
+SECONDS: typing.Final = "a number of seconds above 0"
+
+
+class ControlSettings(typing.NamedTuple):
+    """Everything that a control process learns from its settings file."""
+
+    policy: controls.Settings
+    key: bytes
+    store_addresses: tuple[str, ...]
+    vm_list_url: str
+    vm_list_interval_s: float
+    balancer_link: str
+    metrics_address: tuple[str, int]
+    probe_port_offset: int
+    seeds: tuple[controls.Member, ...]
+
+
+def parse_key(text: str) -> bytes:
+    """Parse a shared key of 16 to 64 bytes in hexadecimal digits."""
+    key = bytes.fromhex(text)
+    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+        raise ValueError(text)
+    return key
+
+
+def parse_address_text(text: str) -> str:
+    """Check "ip:port" and return it unchanged."""
+    tables.parse_address(text)
+    return text
+
+
+def parse_bus(text: str) -> str:
+    """Check an "ip:port" whose next port exists too."""
+    _, port = tables.parse_address(text)
+    if port == 65_535:
+        raise ValueError(text)
+    return text
+
+
+def parse_addresses(text: str) -> tuple[str, ...]:
+    """Parse one or more "ip:port" separated by spaces."""
+    addresses = tuple(parse_address_text(part) for part in text.split())
+    if not addresses:
+        raise ValueError(text)
+    return addresses
+
+
+def parse_url(text: str) -> str:
+    """Check a plain HTTP URL."""
+    if not text.startswith("http://") or " " in text:
+        raise ValueError(text)
+    return text
+
+
+def parse_offset(text: str) -> int:
+    """Parse a port offset from -65534 to 65534."""
+    value = int(text)
+    if not -65_534 <= value <= 65_534:
+        raise ValueError(text)
+    return value
+
+
+OPTIONS: typing.Final = (
+    ini.Option("node", "name", "name", ini.parse_name, NAME),
+    ini.Option("node", "zone", "zone", ini.parse_name, NAME),
+    ini.Option(
+        "bus",
+        "address",
+        "bus",
+        parse_bus,
+        ADDRESS,
+        help="other controls subscribe here and fetch at the next port",
+    ),
+    ini.Option("bus", "key", "key", parse_key, "32 to 128 hexadecimal digits"),
+    ini.Option("store", "addresses", "store_addresses", parse_addresses, ADDRESS),
+    ini.Option("vms", "url", "vm_list_url", parse_url, "an http:// URL"),
+    ini.Option(
+        "vms", "interval_s", "vm_list_interval_s", ini.parse_positive, SECONDS, "2"
+    ),
+    ini.Option("balancer", "link", "balancer_link", parse_address_text, ADDRESS),
+    ini.Option("metrics", "address", "metrics_address", tables.parse_address, ADDRESS),
+    ini.Option(
+        "probes",
+        "port_offset",
+        "probe_port_offset",
+        parse_offset,
+        "a whole number from -65534 to 65534",
+        "0",
+        help="added to the port of a row's address",
+    ),
+    ini.Option(
+        "probes",
+        "interval_s",
+        "probe_interval_s",
+        ini.parse_positive,
+        SECONDS,
+        "1",
+    ),
+    ini.Option(
+        "status", "lease_ttl_s", "lease_ttl_s", ini.parse_positive, SECONDS, "15"
+    ),
+)
+
+
+def read_control_settings(path: pathlib.Path) -> ControlSettings:
+    """Read a settings file.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of one `SettingError` per fault of the file.
+    """
+
+    def build(**values: typing.Any) -> ControlSettings:
+        return build_settings(str(path), values)
+
+    return ini.read_settings(path, OPTIONS, build, ("seeds",))
+
+
+def build_settings(path: str, values: dict[str, typing.Any]) -> ControlSettings:
+    """Build the settings from checked values and the unchecked seeds section."""
+    seeds: list[controls.Member] = []
+    errors: list[ini.SettingError] = []
+    for name, text in values.pop("seeds").items():
+        zone, _, bus = text.partition(" ")
+        try:
+            ini.parse_name(zone)
+            seeds.append(controls.Member(events.Vm(name, zone, ""), parse_bus(bus)))
+        except ValueError:
+            allowed = f"{text!r} is not allowed: a zone and ip:port"
+            errors.append(ini.SettingError(path, "seeds", name, allowed))
+    # Renewals are sent at a third of the time to live, so that one may fail.
+    ttl_s = values.pop("lease_ttl_s")
+    policy = controls.Settings(
+        name=values.pop("name"),
+        zone=values.pop("zone"),
+        bus=values.pop("bus"),
+        probe_interval_s=values.pop("probe_interval_s"),
+        lease_ttl_s=ttl_s,
+        lease_renew_s=ttl_s / 3,
+        lease_margin_s=ttl_s / 5,
+    )
+    if ttl_s < 5:
+        error = ini.SettingError(path, "status", "lease_ttl_s", "5 or more")
+        errors.append(error)
+    if errors:
+        raise ExceptionGroup("settings", errors)
+    return ControlSettings(policy=policy, seeds=tuple(seeds), **values)
+
+
+def list_options() -> list[str]:
+    """Return one line per setting."""
+    lines = []
+    for option in OPTIONS:
+        default = "required" if option.default is None else f"default {option.default}"
+        line = f"[{option.section}] {option.key}: {option.allowed} ({default})"
+        lines.append(f"{line}; {option.help}" if option.help else line)
+    return [*lines, "[seeds] NAME: a zone and a bus ip:port (optional)"]
--- /dev/null
+++ b/src/pistachioshed/apps/storedriver.py
@@ -0,0 +1,211 @@
+"""Carries out the control policy's actions on the store and returns its events."""
+
+import random
+import typing
+from collections import abc
+
+import msgspec
+from twisted.internet import defer, task
+
+from pistachioshed.adapters import jsonlog
+from pistachioshed.core import codec, controls
+from pistachioshed.ports import store
+
+REPORTERS_PREFIX: typing.Final = "/pistachioshed/reporters/"
+STATUS_PREFIX: typing.Final = "/pistachioshed/status/"
+RETRY_S: typing.Final = 1.0
+# The watch reports progress every 2 s and is re-opened after 5 s of silence.
+WATCH_SILENCE_S: typing.Final = 6.0
+
+
+class StoreDriver:
+    """The store calls of one control process.
+
+    Parameters
+    ----------
+    settings : controls.Settings
+        The settings of the policy.
+    client : store.Store
+        The store.
+    dispatch : callable
+        Called with each event for the policy.
+    clock : IReactorTime
+        Used for pauses and for the time at which a renewal was sent.
+    """
+
+    def __init__(
+        self,
+        settings: controls.Settings,
+        client: store.Store,
+        dispatch: abc.Callable[[controls.Event], None],
+        clock: typing.Any,
+        now: abc.Callable[[], float],
+    ) -> None:
+        self.settings = settings
+        self.store = client
+        self.dispatch = dispatch
+        self.clock = clock
+        self.now = now
+        self.reporter_key = REPORTERS_PREFIX + settings.zone
+        self.status_key = STATUS_PREFIX + settings.zone
+        self.reading: defer.Deferred[None] | None = None
+        self.watch: store.Watch | None = None
+        self.heard_at = 0.0
+
+    def start_watch(self) -> None:
+        """Read all tables, then watch them."""
+        self.stop_watch()
+        self.reading = self.spawn("watch tables", self._read_and_watch())
+
+    def stop_watch(self) -> None:
+        """Stop watching."""
+        reading, self.reading = self.reading, None
+        watch, self.watch = self.watch, None
+        if reading is not None:
+            reading.cancel()
+        if watch is not None:
+            watch.stop()
+
+    def check_watch(self) -> None:
+        """Report a watch that makes no progress; the store adapter re-opens it."""
+        if self.watch is None:
+            return
+        if self.now() - self.heard_at > WATCH_SILENCE_S:
+            self.dispatch(controls.StoreUnavailable("the watch is silent"))
+
+    async def _read_and_watch(self) -> None:
+        while True:
+            try:
+                answer = await self.store.get_prefix(codec.TABLES_PREFIX)
+                break
+            except store.StoreError as error:
+                self.dispatch(controls.StoreUnavailable(str(error)))
+            await task.deferLater(self.clock, RETRY_S * (0.5 + random.random()))
+        for pair in answer.pairs:
+            self._take_value(pair.key, pair.value, pair.mod_revision)
+        self.dispatch(controls.StoreRead(answer.revision))
+        self.heard_at = self.now()
+        self.watch = self.store.watch(
+            codec.TABLES_PREFIX, answer.revision + 1, self._take_batch
+        )
+
+    def _take_batch(self, batch: store.WatchBatch) -> None:
+        self.heard_at = self.now()
+        self.dispatch(controls.StoreAvailable())
+        for event in batch.events:
+            if event.deleted:
+                jsonlog.log_failure("table deleted in the store", key=event.key)
+                continue
+            self._take_value(event.key, event.value, event.mod_revision)
+
+    def _take_value(self, key: str, value: bytes, revision: int) -> None:
+        try:
+            table = codec.decode_table(key, value)
+        except codec.CodecError as error:
+            jsonlog.log_failure("decode table", key=key, error=str(error))
+            return
+        self.dispatch(controls.StoreTable(table, revision))
+
+    def read_table(self, service: str) -> None:
+        """Read one table."""
+        self.spawn("read table", self._read_table(codec.make_table_key(service)))
+
+    async def _read_table(self, key: str) -> None:
+        try:
+            answer = await self.store.get(key)
+        except store.StoreError as error:
+            self.dispatch(controls.StoreUnavailable(str(error)))
+            return
+        self.dispatch(controls.StoreAvailable())
+        if answer.pair is not None:
+            self._take_value(key, answer.pair.value, answer.pair.mod_revision)
+
+    def grant_lease(self, ttl_s: float) -> None:
+        """Create the reporter key under a new lease, if the key is absent."""
+        self.spawn("grant lease", self._grant_lease(round(ttl_s)))
+
+    async def _grant_lease(self, ttl_s: int) -> None:
+        try:
+            held = await self.store.get(self.reporter_key)
+            if held.pair is not None:
+                self.dispatch(controls.LeaseLost("held by another control"))
+                return
+            lease = (await self.store.grant_lease(ttl_s)).lease
+            fence = await self._create_key(lease)
+        except store.StoreError as error:
+            self.dispatch(controls.LeaseLost(str(error)))
+            return
+        if fence:
+            self.dispatch(controls.LeaseGranted(lease, fence))
+            return
+        self.dispatch(controls.LeaseLost("another control was first"))
+        self.drop_lease(lease)
+
+    async def _create_key(self, lease: int) -> int:
+        """Return the creation revision of the key, 0 if another control has it."""
+        absent = store.Compare(self.reporter_key, "create", 0)
+        put = store.Put(self.reporter_key, self.settings.name.encode(), lease)
+        try:
+            answer = await self.store.transact([absent], [put])
+            return answer.revision if answer.succeeded else 0
+        except store.AnswerLost:
+            pair = (await self.store.get(self.reporter_key)).pair
+            return pair.create_revision if pair and pair.lease == lease else 0
+
+    def renew_lease(self, lease: int) -> None:
+        """Renew a lease."""
+        self.spawn("renew lease", self._renew_lease(lease, self.now()))
+
+    async def _renew_lease(self, lease: int, sent_at: float) -> None:
+        try:
+            answer = await self.store.keep_alive(lease)
+        except store.StoreError as error:
+            # The policy's own clock ends the lease if no renewal gets through.
+            jsonlog.log_failure("renew lease", error=str(error))
+            return
+        if answer.ttl_seconds:
+            self.dispatch(controls.LeaseRenewed(lease, sent_at))
+        else:
+            self.dispatch(controls.LeaseLost("the lease expired"))
+
+    def drop_lease(self, lease: int) -> defer.Deferred[None]:
+        """Revoke a lease."""
+        return self.spawn("drop lease", self._drop_lease(lease))
+
+    async def _drop_lease(self, lease: int) -> None:
+        try:
+            await self.store.revoke_lease(lease)
+        except store.StoreError as error:
+            jsonlog.log_failure("drop lease", error=str(error))
+
+    def write_status(self, fence: int, status: dict[str, dict[str, int]]) -> None:
+        """Write the zone's status under a fence."""
+        self.spawn("write status", self._write_status(fence, status))
+
+    async def _write_status(
+        self, fence: int, status: dict[str, dict[str, int]]
+    ) -> None:
+        fenced = store.Compare(self.reporter_key, "create", fence)
+        put = store.Put(self.status_key, msgspec.json.encode(status))
+        try:
+            answer = await self.store.transact([fenced], [put])
+        except store.StoreError as error:
+            self.dispatch(controls.StatusFailed(str(error)))
+            return
+        if answer.succeeded:
+            self.dispatch(controls.StatusWritten())
+        else:
+            self.dispatch(controls.LeaseLost("the fence refused a write"))
+
+    def spawn(
+        self, step: str, work: abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> defer.Deferred[None]:
+        """Run a coroutine; an unexpected failure is logged with its step."""
+        running = defer.Deferred.fromCoroutine(work)
+
+        def log_error(reason: typing.Any) -> None:
+            if not reason.check(defer.CancelledError):
+                jsonlog.log_failure(step, error=reason.getTraceback())
+
+        running.addErrback(log_error)
+        return running
--- /dev/null
+++ b/src/pistachioshed/core/digests.py
@@ -0,0 +1,140 @@
+"""Messages between control processes, and their authenticated msgpack codec."""
+
+import hashlib
+import hmac
+import typing
+
+import msgspec
+import xxhash
+
+from pistachioshed.core import tables
+
+TAG_BYTES: typing.Final = 16
+MAX_MESSAGE_BYTES: typing.Final = 4 * 1024 * 1024
+
+
+class Entry(typing.NamedTuple):
+    """A table held by a control and the version in force on its balancer.
+
+    `content` is a 32-bit hash of the table; it tells apart two tables at the same
+    version.
+    """
+
+    service: str
+    version: int
+    content: int
+    in_force: int
+
+
+class NodeReport(typing.NamedTuple):
+    """Versions in force on another node, relayed by a hub; `age_ds` in 0.1 s.
+
+    The versions are in the order of the digest's entries, 0 for none.
+    """
+
+    node: str
+    age_ds: int
+    in_force: tuple[int, ...]
+
+
+class Digest(typing.NamedTuple):
+    """What a control publishes each second and on change.
+
+    `reports` are relayed reports of nodes that few subscribe to, `silent` the names
+    of nodes that the sender subscribes to and does not hear.
+    """
+
+    node: str
+    zone: str
+    entries: tuple[Entry, ...]
+    reports: tuple[NodeReport, ...] = ()
+    silent: tuple[str, ...] = ()
+
+
+class TableMessage(typing.NamedTuple):
+    """A published table."""
+
+    node: str
+    zone: str
+    table: tables.Table
+
+
+class ProbeResult(typing.NamedTuple):
+    """One control's probe result; `age_ds` is its age in 0.1 s when sent."""
+
+    prober: str
+    service: str
+    upstream: str
+    ok: bool
+    draining: bool
+    load: float | None
+    latency_s: float | None
+    age_ds: int = 0
+
+
+class ProbesMessage(typing.NamedTuple):
+    """Published probe results."""
+
+    node: str
+    results: tuple[ProbeResult, ...]
+
+
+class FetchRequest(typing.NamedTuple):
+    """Versions that the sender holds; it asks for newer tables."""
+
+    node: str
+    have: dict[str, int]
+
+
+class FetchReply(typing.NamedTuple):
+    """Tables that are newer than the requested versions."""
+
+    node: str
+    tables: tuple[tables.Table, ...]
+
+
+class DigestError(ValueError):
+    """A message that is too long, forged or not of the expected type."""
+
+
+Message = Digest | TableMessage | ProbesMessage | FetchRequest | FetchReply
+T = typing.TypeVar("T", Digest, TableMessage, ProbesMessage, FetchRequest, FetchReply)
+
+
+def hash_table(table: tables.Table) -> int:
+    """Return the 32-bit content hash of a table."""
+    return xxhash.xxh32_intdigest(msgspec.msgpack.encode(table))
+
+
+def compute_tag(topic: bytes, body: bytes, key: bytes) -> bytes:
+    """Return the keyed tag of a message; it covers the topic too."""
+    return hashlib.blake2b(topic + body, digest_size=TAG_BYTES, key=key).digest()
+
+
+def encode_message(message: Message, topic: bytes, key: bytes) -> bytes:
+    """Encode a message as topic, tag and msgpack body."""
+    body = msgspec.msgpack.encode(message)
+    return topic + compute_tag(topic, body, key) + body
+
+
+def decode_message(payload: bytes, topic: bytes, key: bytes, kind: type[T]) -> T:
+    """Decode a message.
+
+    Raises
+    ------
+    DigestError
+        If the payload is too long, has another topic, a wrong tag or a wrong type.
+    """
+    if len(payload) > MAX_MESSAGE_BYTES:
+        raise DigestError("decode message: too long")
+    start = len(topic) + TAG_BYTES
+    body = payload[start:]
+    tag = payload[len(topic) : start]
+    if not payload.startswith(topic):
+        raise DigestError("decode message: other topic")
+    if not hmac.compare_digest(tag, compute_tag(topic, body, key)):
+        raise DigestError("decode message: wrong tag")
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise DigestError(f"decode message: {error}") from error
--- /dev/null
+++ b/src/pistachioshed/core/reporting.py
@@ -0,0 +1,144 @@
+"""Status of a zone: versions in force per node, and the fenced lease to write it."""
+
+import typing
+
+from pistachioshed.core import controls, events
+
+GRANT_INTERVAL_S: typing.Final = 2.0
+# How long an unanswered grant or write blocks the next one.
+CALL_TIMEOUT_S: typing.Final = 5.0
+
+Status = dict[str, dict[str, int]]
+
+
+class Lease(typing.NamedTuple):
+    """A held lease; `ends_at` is when this process must stop to rely on it."""
+
+    lease: int
+    fence: int
+    ends_at: float
+
+
+class Reporter:
+    """The lease and the writes of the control that reports for its zone.
+
+    The lease is relied on until its last successful renewal was sent plus the time
+    to live less a margin, by this process's clock. A process that is paused after
+    that check can still send a write; its fence then refuses it.
+    """
+
+    def __init__(self, settings: controls.Settings) -> None:
+        self.settings = settings
+        self.lease: Lease | None = None
+        self.granted_at: float | None = None
+        self.next_grant_at = 0.0
+        self.renew_at = 0.0
+        self.writing_since: float | None = None
+        self.in_flight: Status | None = None
+        self.written: Status | None = None
+        self.written_at = 0.0
+
+    def step(self, first: bool, status: Status, now: float) -> list[controls.Action]:
+        """Return the calls that are due; `first` is set for the first ranked."""
+        lease = self.lease
+        if lease is not None and now >= lease.ends_at:
+            return self.step_down("lease not renewed in time", now)
+        if not first:
+            self.granted_at = None
+            if lease is None:
+                return []
+            drop = controls.DropLease(lease.lease)
+            return [drop, *self.step_down("not first ranked", now)]
+        if lease is None:
+            return self._request_lease(now)
+        actions: list[controls.Action] = []
+        if now >= self.renew_at:
+            self.renew_at = now + self.settings.lease_renew_s
+            actions.append(controls.RenewLease(lease.lease))
+        if self._is_write_due(status, now):
+            self.writing_since = now
+            self.in_flight = status
+            actions.append(controls.WriteStatus(lease.fence, status))
+        return actions
+
+    def _request_lease(self, now: float) -> list[controls.Action]:
+        waiting = self.granted_at is not None
+        if waiting and now - (self.granted_at or 0.0) < CALL_TIMEOUT_S:
+            return []
+        if now < self.next_grant_at:
+            return []
+        self.granted_at = now
+        self.next_grant_at = now + GRANT_INTERVAL_S
+        return [controls.GrantLease(self.settings.lease_ttl_s)]
+
+    def _is_write_due(self, status: Status, now: float) -> bool:
+        if self.writing_since is not None and now - self.writing_since < CALL_TIMEOUT_S:
+            return False
+        if now - self.written_at < self.settings.status_gap_s:
+            return False
+        overdue = now - self.written_at >= self.settings.status_interval_s
+        return overdue or status != self.written
+
+    def accept_lease(
+        self, event: controls.LeaseGranted, now: float
+    ) -> list[controls.Action]:
+        """Hold a granted lease, or drop it when the answer came too late."""
+        sent_at, self.granted_at = self.granted_at, None
+        if sent_at is None:
+            return [controls.DropLease(event.lease)]
+        ends_at = self._compute_end(sent_at)
+        if now >= ends_at:
+            return [controls.DropLease(event.lease)]
+        self.lease = Lease(event.lease, event.fence, ends_at)
+        self.renew_at = sent_at + self.settings.lease_renew_s
+        self.written = None
+        self.writing_since = None
+        self.written_at = now - self.settings.status_gap_s
+        fields: dict[str, object] = {"fence": event.fence}
+        return [events.Notice("reporter_started", fields)]
+
+    def accept_renewal(
+        self, event: controls.LeaseRenewed, now: float
+    ) -> list[controls.Action]:
+        """Extend the lease by its time to live from when the renewal was sent."""
+        if self.lease is not None and self.lease.lease == event.lease:
+            ends_at = max(self.lease.ends_at, self._compute_end(event.sent_at))
+            self.lease = self.lease._replace(ends_at=ends_at)
+        return []
+
+    def _compute_end(self, sent_at: float) -> float:
+        return sent_at + self.settings.lease_ttl_s - self.settings.lease_margin_s
+
+    def accept_write(
+        self, event: controls.StatusWritten, now: float
+    ) -> list[controls.Action]:
+        """Record that the write in flight took effect."""
+        self.writing_since = None
+        self.written = self.in_flight
+        self.written_at = now
+        return []
+
+    def fail_write(
+        self, event: controls.StatusFailed, now: float
+    ) -> list[controls.Action]:
+        """Record that the write in flight failed; it is tried again."""
+        self.written = None
+        self.written_at = now
+        self.writing_since = None
+        return []
+
+    def lose_lease(
+        self, event: controls.LeaseLost, now: float
+    ) -> list[controls.Action]:
+        """Step down since the store no longer knows the lease or the fence."""
+        return self.step_down(event.reason, now)
+
+    def step_down(self, reason: str, now: float) -> list[controls.Action]:
+        """Stop reporting, or give up the request for a lease."""
+        self.granted_at = None
+        self.next_grant_at = now + GRANT_INTERVAL_S
+        if self.lease is None:
+            return []
+        fields: dict[str, object] = {"fence": self.lease.fence, "reason": reason}
+        self.lease = None
+        return [events.Notice("reporter_stopped", fields)]
--- /dev/null
+++ b/src/pistachioshed/core/roster.py
@@ -0,0 +1,155 @@
+"""Who is live, by the VM list and by silence, and whom a control subscribes to."""
+
+import typing
+
+from pistachioshed.core import controls, events, hashing
+
+WATCHERS_PER_ZONE: typing.Final = 2
+# All controls of a zone of this size subscribe to each other. In a larger zone the
+# first ranked are hubs: each other control subscribes to two of them and is
+# subscribed to by the same two, so that the digests a node sends and receives stay
+# bounded (200 nodes in full mesh would receive 200 digests a second each).
+HUBS_PER_ZONE: typing.Final = 8
+HUBS_PER_MEMBER: typing.Final = 2
+MAX_SILENT_KEPT: typing.Final = 16
+
+
+class Roster:
+    """Members and what this control has heard of them."""
+
+    def __init__(self, settings: controls.Settings) -> None:
+        self.settings = settings
+        self.members: dict[str, controls.Member] = {}
+        self.zones: dict[str, list[str]] = {}
+        self.heard: dict[str, float] = {}
+        self.subscribed: dict[str, float] = {}
+        self.hearsay: dict[str, tuple[float, frozenset[str]]] = {}
+        self.ranks: dict[tuple[str, str], list[str]] = {}
+        self.set_members((), 0.0)
+
+    def set_members(self, members: tuple[controls.Member, ...], now: float) -> None:
+        """Replace the list; this control itself is always a member."""
+        settings = self.settings
+        own = controls.Member(events.Vm(settings.name, settings.zone, ""), settings.bus)
+        self.members = {settings.name: own} | {
+            member.vm.name: member for member in members
+        }
+        self.zones = {}
+        for member in self.members.values():
+            if not member.vm.leaving:
+                self.zones.setdefault(member.vm.zone, []).append(member.vm.name)
+        self.ranks.clear()
+        for known in (self.heard, self.subscribed, self.hearsay):
+            for name in known.keys() - self.members.keys():
+                del known[name]
+
+    def note_digest(self, name: str, silent: tuple[str, ...], now: float) -> None:
+        """Record that a peer was heard, and whom it does not hear."""
+        if name in self.members:
+            self.heard[name] = now
+            self.hearsay[name] = (now, frozenset(silent))
+
+    def is_silent(self, name: str, now: float) -> bool:
+        """Tell whether a peer that this control subscribes to went silent."""
+        since = self.subscribed.get(name)
+        if since is None or name == self.settings.name:
+            return False
+        return now - max(since, self.heard.get(name, since)) > self.settings.silence_s
+
+    def list_silent(self, now: float) -> tuple[str, ...]:
+        """Return the names of silent peers, at most `MAX_SILENT_KEPT`."""
+        silent = (name for name in self.subscribed if self.is_silent(name, now))
+        return tuple(sorted(silent))[:MAX_SILENT_KEPT]
+
+    def rank_names(self, zone: str, key: str) -> list[str]:
+        """Order the listed, not leaving members of a zone for a key."""
+        ranked = self.ranks.get((zone, key))
+        if ranked is None:
+            choices = [hashing.Choice(name, 1.0) for name in self.zones.get(zone, ())]
+            ranked = hashing.rank_choices(key.encode(), choices)
+            self.ranks[zone, key] = ranked
+        return ranked
+
+    def rank_live(self, zone: str, now: float) -> list[str]:
+        """Order the members of a zone that this control does not find silent."""
+        ranked = self.rank_names(zone, zone)
+        return [name for name in ranked if not self.is_silent(name, now)]
+
+    def is_first(self, now: float) -> bool:
+        """Tell whether this control is the first ranked of its zone."""
+        return self.rank_live(self.settings.zone, now)[:1] == [self.settings.name]
+
+    def is_watcher(self, now: float) -> bool:
+        """Tell whether this control should watch the store."""
+        ranked = self.rank_live(self.settings.zone, now)
+        return self.settings.name in ranked[:WATCHERS_PER_ZONE]
+
+    def list_hubs(self, now: float) -> list[str]:
+        """Return the hubs of this control's zone."""
+        return self.rank_live(self.settings.zone, now)[:HUBS_PER_ZONE]
+
+    def relays(self, now: float) -> bool:
+        """Tell whether this control is a hub of a zone that has other controls."""
+        ranked = self.rank_live(self.settings.zone, now)
+        return (
+            len(ranked) > HUBS_PER_ZONE and self.settings.name in ranked[:HUBS_PER_ZONE]
+        )
+
+    def list_subscriptions(self, now: float) -> frozenset[str]:
+        """Return the names of the peers to subscribe to.
+
+        Silent peers stay, so that their return is noticed.
+        """
+        own = self.settings.name
+        ranked = self.rank_live(self.settings.zone, now)
+        hubs = ranked[:HUBS_PER_ZONE]
+        chosen = set(self.list_silent(now))
+        if own in hubs:
+            chosen.update(hubs)
+            chosen.update(
+                name
+                for name in ranked[HUBS_PER_ZONE:]
+                if own in choose_hubs(name, hubs)
+            )
+        else:
+            chosen.update(choose_hubs(own, hubs))
+        if self.is_watcher(now):
+            for zone in self.zones.keys() - {self.settings.zone}:
+                chosen.update(self.rank_live(zone, now)[:WATCHERS_PER_ZONE])
+        chosen.discard(own)
+        return frozenset(name for name in chosen if name in self.members)
+
+    def update_subscriptions(self, now: float) -> bool:
+        """Recompute the subscriptions; return whether they changed."""
+        chosen = self.list_subscriptions(now)
+        if chosen == self.subscribed.keys():
+            return False
+        self.subscribed = {name: self.subscribed.get(name, now) for name in chosen}
+        return True
+
+    def list_probers(self, key: str, count: int, now: float) -> list[str]:
+        """Return the controls of this zone that probe an upstream.
+
+        Besides the silence that this control observes, what its peers report as
+        silent counts, since few controls subscribe to a member that is no hub.
+        """
+        reported: set[str] = set()
+        for time, silent in self.hearsay.values():
+            if now - time <= self.settings.silence_s:
+                reported |= silent
+        reported.discard(self.settings.name)
+        probers = []
+        for name in self.rank_names(self.settings.zone, key):
+            heard = now - self.heard.get(name, -1e9) <= self.settings.silence_s
+            dead = self.is_silent(name, now) or (name in reported and not heard)
+            if not dead:
+                probers.append(name)
+            if len(probers) == count:
+                break
+        return probers
+
+
+def choose_hubs(name: str, hubs: list[str]) -> list[str]:
+    """Return the hubs that a member subscribes to and that subscribe to it."""
+    choices = [hashing.Choice(hub, 1.0) for hub in hubs]
+    return hashing.rank_choices(name.encode(), choices)[:HUBS_PER_MEMBER]
--- /dev/null
+++ b/src/pistachioshed/core/spread.py
@@ -0,0 +1,114 @@
+"""Digests of a control process and the reports that hubs relay in them."""
+
+import typing
+from collections import abc
+
+from pistachioshed.core import catalogue, controls, digests, roster
+
+REPORT_AGE_LIMIT_S: typing.Final = 30.0
+# A digest can be lost, so a changed report is relayed in several.
+RELAY_REPEATS: typing.Final = 3
+MAX_RELAYED: typing.Final = 16
+# Unchanged reports relayed in turn; 25 members of a hub take 13 s.
+ROTATED: typing.Final = 2
+
+Versions = dict[str, int]
+
+
+class Spread:
+    """Versions in force per node, from digests and from the local balancer."""
+
+    def __init__(self, settings: controls.Settings) -> None:
+        self.settings = settings
+        self.reports: dict[str, tuple[float, Versions]] = {}
+        self.relayed: dict[str, int] = {}
+        self.attached: list[str] = []
+
+    def record_own(self, versions: Versions, now: float) -> None:
+        """Record the local balancer's report."""
+        self.reports[self.settings.name] = (now, versions)
+
+    def record_digest(
+        self, digest: digests.Digest, members: roster.Roster, now: float
+    ) -> None:
+        """Record a peer's versions in force and those that it relays."""
+        if digest.zone != self.settings.zone:
+            return
+        services = [entry.service for entry in digest.entries]
+        own = [entry.in_force for entry in digest.entries]
+        changed = self._record(digest.node, now, services, own)
+        if members.relays(now) and digest.node not in members.list_hubs(now):
+            if digest.node not in self.attached:
+                self.attached.append(digest.node)
+            if changed:
+                self.relayed[digest.node] = RELAY_REPEATS
+        for report in digest.reports:
+            time = now - report.age_ds / 10
+            self._record(report.node, time, services, report.in_force)
+
+    def _record(
+        self,
+        node: str,
+        time: float,
+        services: abc.Sequence[str],
+        in_force: abc.Sequence[int],
+    ) -> bool:
+        known = self.reports.get(node)
+        if node == self.settings.name or (known is not None and known[0] >= time):
+            return False
+        # A node may hold a table that its balancer does not have in force yet.
+        versions = {
+            service: version
+            for service, version in zip(services, in_force, strict=False)
+            if version
+        }
+        self.reports[node] = (time, versions)
+        return known is None or known[1] != versions
+
+    def list_status(self, members: roster.Roster, now: float) -> dict[str, Versions]:
+        """Return the recent reports of this zone's members."""
+        zone = members.zones.get(self.settings.zone, ())
+        return {
+            node: versions
+            for node, (time, versions) in sorted(self.reports.items())
+            if node in zone and now - time <= REPORT_AGE_LIMIT_S
+        }
+
+    def make_digest(
+        self, held: dict[str, catalogue.Held], silent: tuple[str, ...], now: float
+    ) -> digests.Digest:
+        """Return the digest to publish."""
+        services = sorted(held)
+        _, own = self.reports.get(self.settings.name, (now, {}))
+        entries = tuple(
+            digests.Entry(
+                service,
+                held[service].table.version,
+                held[service].content,
+                own.get(service, 0),
+            )
+            for service in services
+        )
+        reports = tuple(self._list_relayed(services, now))
+        return digests.Digest(
+            self.settings.name, self.settings.zone, entries, reports, silent
+        )
+
+    def _list_relayed(
+        self, services: list[str], now: float
+    ) -> abc.Iterator[digests.NodeReport]:
+        chosen = list(self.relayed)[:MAX_RELAYED]
+        for node in chosen:
+            self.relayed[node] -= 1
+            if not self.relayed[node]:
+                del self.relayed[node]
+        rotated = self.attached[:ROTATED]
+        self.attached = self.attached[ROTATED:] + rotated
+        for node in dict.fromkeys([*chosen, *rotated]):
+            time, versions = self.reports.get(node, (-REPORT_AGE_LIMIT_S, {}))
+            age_s = now - time
+            if age_s > REPORT_AGE_LIMIT_S:
+                self.attached = [name for name in self.attached if name != node]
+                continue
+            in_force = tuple(versions.get(service, 0) for service in services)
+            yield digests.NodeReport(node, round(age_s * 10), in_force)
