Answer HTTP/3 requests through eight balancers

Add the balancer daemon, the QUIC and relay framing, and the stand-ins of fabric, upstreams and callers.

Updates of the local link could not be imported: within the class body the field `tables` hid the module of that name. The element type now has a name of its own.

--- a/src/pistachioshed/adapters/jsonlog.py
+++ b/src/pistachioshed/adapters/jsonlog.py
@@ -62,3 +62,8 @@
 def log_failure(event: str, **fields: object) -> None:
     """Log a failure with its fields; give `step` and `peer` where they are known."""
     logging.get_absl_logger().warning({"event": event, **fields})
+
+
+def log_exception(event: str, **fields: object) -> None:
+    """Log the exception in hand with its traceback."""
+    logging.get_absl_logger().error({"event": event, **fields}, exc_info=True)
--- /dev/null
+++ b/src/pistachioshed/adapters/relay.py
@@ -0,0 +1,88 @@
+"""Framing of the datagrams between balancers: relayed packets and control messages."""
+
+import hashlib
+import hmac
+import socket
+import struct
+import typing
+
+CONTROL: typing.Final = 0x01
+RELAY: typing.Final = 0x02
+VERSION: typing.Final = 1
+TAG_BYTES: typing.Final = 12
+MAX_NAME_BYTES: typing.Final = 63
+PREFIX: typing.Final = struct.Struct("!BB12sBB")
+FLOW_LENGTHS: typing.Final = frozenset((6, 18))
+
+
+class RelayError(ValueError):
+    """A relayed datagram that is not acceptable; `reason` is a metric label."""
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+        super().__init__(f"decode relay: {reason}")
+
+
+class Relayed(typing.NamedTuple):
+    """A caller's datagram in the hands of another balancer."""
+
+    service: str
+    flow: bytes
+    data: bytes
+
+
+def pack_flow(address: tuple[str, int]) -> bytes:
+    """Pack a caller's IP number and port."""
+    host, port = address
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.inet_pton(family, host) + port.to_bytes(2, "big")
+
+
+def unpack_flow(flow: bytes) -> tuple[str, int]:
+    """Return the caller's IP number and port."""
+    family = socket.AF_INET if len(flow) == 6 else socket.AF_INET6
+    return socket.inet_ntop(family, flow[:-2]), int.from_bytes(flow[-2:], "big")
+
+
+def encode_relay(relayed: Relayed, key: bytes) -> bytes:
+    """Frame a caller's datagram for its owner, with a keyed tag over all of it."""
+    name = relayed.service.encode()
+    lengths = bytes((len(name), len(relayed.flow)))
+    body = b"".join((name, relayed.flow, relayed.data))
+    tag = compute_tag(lengths + body, key)
+    return b"".join((bytes((RELAY, VERSION)), tag, lengths, body))
+
+
+def decode_relay(payload: bytes, key: bytes) -> Relayed:
+    """Check and unframe a relayed datagram.
+
+    Raises
+    ------
+    RelayError
+        If the frame is malformed, of another version or not made with the key.
+    """
+    if len(payload) < PREFIX.size:
+        raise RelayError("relay_truncated")
+    _, version, tag, name_length, flow_length = PREFIX.unpack_from(payload)
+    if version != VERSION:
+        raise RelayError("relay_version")
+    if not hmac.compare_digest(tag, compute_tag(payload[2 + TAG_BYTES :], key)):
+        raise RelayError("relay_tag")
+    flow_at = PREFIX.size + name_length
+    data_at = flow_at + flow_length
+    if (
+        flow_length not in FLOW_LENGTHS
+        or not 0 < name_length <= MAX_NAME_BYTES
+        or data_at > len(payload)
+    ):
+        raise RelayError("relay_malformed")
+    try:
+        service = payload[PREFIX.size : flow_at].decode()
+    except UnicodeDecodeError as error:
+        raise RelayError("relay_malformed") from error
+    return Relayed(service, payload[flow_at:data_at], payload[data_at:])
+
+
+def compute_tag(body: bytes, key: bytes) -> bytes:
+    """Return the keyed BLAKE2 tag of a frame's body."""
+    return hashlib.blake2b(body, key=key, digest_size=TAG_BYTES).digest()
--- /dev/null
+++ b/src/pistachioshed/apps/balancer.py
@@ -0,0 +1,195 @@
+"""The balancer daemon: packet path, membership and the link to the control process."""
+
+import pathlib
+import signal
+import time
+import typing
+
+import typer
+from twisted.internet import task
+from twisted.python import log as twisted_log
+
+from pistachioshed.adapters import datagrams, jsonlog, metrics, reactors
+from pistachioshed.adapters import link as links
+from pistachioshed.apps import balanceroptions
+from pistachioshed.apps import fakenode as nodes
+from pistachioshed.core import events
+from pistachioshed.core import link as messages
+
+TICK_S: typing.Final = 0.1
+REPORT_S: typing.Final = 1.0
+# The core ends a graceful stop by itself; this bounds a stop that it does not end.
+STOP_MARGIN_S: typing.Final = 5.0
+LABELS: typing.Final = {
+    "dropped": "reason",
+    "refused": "reason",
+    "control_bytes": "direction",
+}
+
+
+class Daemon:
+    """One balancer process: the core, its sockets and its timers."""
+
+    def __init__(
+        self,
+        settings: balanceroptions.BalancerSettings,
+        reactor: typing.Any,
+    ) -> None:
+        self.settings = settings
+        self.reactor = reactor
+        seed = time.time_ns() & 0xFFFFFFFF
+        self.node = nodes.Node(settings.core, seed)
+        self.datagrams = datagrams.Datagrams(
+            self.node,
+            settings.core.key,
+            settings.peer_address[0],
+            reactor,
+            time.monotonic,
+            self.stop,
+        )
+        self.link = links.Link(self.receive_update)
+        self.metrics = metrics.Metrics("pistachioshed_balancer")
+        self.published: dict[tuple[str, str], int] = {}
+        self.last_tick_s = time.monotonic()
+        self.loop_lag_s = 0.0
+        self.stopping = False
+
+    def start(self) -> None:
+        """Open the sockets and start the timers."""
+        metrics.serve_metrics(
+            self.metrics,
+            self.reactor,
+            self.settings.metrics_address,
+        )
+        self.datagrams.set_peers(self.settings.seeds)
+        self.datagrams.open_peer_port(self.settings.peer_address)
+        for service, address in self.settings.services.items():
+            self.datagrams.open_listener(service, address)
+        self.link.dial(self.settings.control_address)
+        task.LoopingCall(self.run_step, "tick", self.tick).start(TICK_S)
+        task.LoopingCall(self.run_step, "report", self.report).start(REPORT_S)
+        jsonlog.log_event("started", services=sorted(self.settings.services))
+
+    def run_step(self, step: str, function: typing.Any) -> None:
+        """Run a periodic step; a failure is logged and the next run goes ahead."""
+        try:
+            function()
+        except Exception:
+            jsonlog.log_exception("periodic step failed", step=step)
+            self.metrics.count("failures", step=step)
+
+    def tick(self) -> None:
+        """Let the core know that time passed."""
+        now = time.monotonic()
+        self.loop_lag_s = max(self.loop_lag_s, now - self.last_tick_s - TICK_S)
+        self.last_tick_s = now
+        self.datagrams.handle(events.Tick())
+
+    def report(self) -> None:
+        """Send a report to the control process and publish the metrics."""
+        self.link.send(messages.encode_message(self.build_report()))
+        for (metric, label), total in self.datagrams.counts.items():
+            amount = total - self.published.get((metric, label), 0)
+            labels = {LABELS[metric]: label} if metric in LABELS else {}
+            self.metrics.count(metric, amount, **labels)
+            self.published[metric, label] = total
+        for service in self.settings.services:
+            flows = self.node.count_flows(service)
+            self.metrics.set_gauge("open_flows", flows, service=service)
+        self.metrics.set_gauge("loop_lag_seconds", self.loop_lag_s)
+        self.loop_lag_s = 0.0
+
+    def build_report(self) -> messages.Report:
+        """Return the state that the control process publishes."""
+        core = self.settings.core
+        return messages.Report(
+            core.name,
+            core.zone,
+            self.node.state,
+            self.node.versions,
+            self.node.active_members,
+        )
+
+    def receive_update(self, payload: bytes) -> None:
+        """Take over what the control process sent."""
+        try:
+            update = messages.decode_update(payload)
+        except messages.LinkError as error:
+            peer = self.settings.control_address
+            jsonlog.log_failure("receive update", peer=peer, error=str(error))
+            return
+        if update.vms:
+            peers = {vm.name: vm.address for vm in update.vms}
+            self.datagrams.set_peers(self.settings.seeds | peers)
+            self.datagrams.handle(events.VmsReceived(update.vms))
+        for table in update.tables:
+            self.datagrams.handle(events.TableReceived(table))
+        for probe in update.probes:
+            self.datagrams.handle(probe)
+
+    def request_stop(self) -> None:
+        """Start a graceful stop; later requests change nothing."""
+        if self.stopping:
+            return
+        self.stopping = True
+        jsonlog.log_event("stop requested")
+        limit_s = self.settings.core.leave_timeout_s + STOP_MARGIN_S
+        self.reactor.callLater(limit_s, self.stop)
+        self.datagrams.handle(events.StopRequested())
+
+    def stop(self) -> None:
+        """End the process."""
+        if self.reactor.running:
+            jsonlog.log_event("stopped")
+            self.link.close()
+            self.reactor.stop()
+
+
+def run_daemon(settings: balanceroptions.BalancerSettings) -> None:
+    """Run a balancer until it is stopped."""
+    loop, reactor = reactors.install_reactor()
+
+    core = settings.core
+    jsonlog.start_logging(
+        {"program": "balancer", "node": core.name, "zone": core.zone},
+    )
+    twisted_log.PythonLoggingObserver().start()
+    daemon = Daemon(settings, reactor)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.request_stop)
+    reactor.callWhenRunning(daemon.start)
+    reactor.run(installSignalHandlers=False)
+
+
+def run(
+    settings: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Settings file (INI)."),
+    ] = None,
+    list_settings: typing.Annotated[
+        bool,
+        typer.Option("--list-settings", help="Print all settings and exit."),
+    ] = False,
+) -> None:
+    """Run a balancer of the fleet until SIGTERM, which stops it gracefully."""
+    if list_settings:
+        typer.echo("\n".join(balanceroptions.list_options()))
+        return
+    if settings is None:
+        raise typer.BadParameter("--settings FILE is required")
+    try:
+        checked = balanceroptions.read_balancer_settings(settings)
+    except ExceptionGroup as group:
+        for error in group.exceptions:
+            typer.echo(str(error), err=True)
+        raise typer.Exit(2) from group
+    run_daemon(checked)
+
+
+def main() -> None:
+    """Run the command line."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/pistachioshed/core/link.py
+++ b/src/pistachioshed/core/link.py
@@ -6,11 +6,14 @@
 
 from pistachioshed.core import events, tables
 
+# Named here, since the field of this name hides the module within the class.
+Tables = tuple[tables.Table, ...]
+
 
 class Update(typing.NamedTuple):
     """What the control process tells its balancer; empty fields change nothing."""
 
-    tables: tuple[tables.Table, ...] = ()
+    tables: Tables = ()
     vms: tuple[events.Vm, ...] = ()
     probes: tuple[events.ProbeReported, ...] = ()
 
--- /dev/null
+++ b/standins/hosts.py
@@ -0,0 +1,129 @@
+"""The model of one upstream host: slots, queue, effects and what it executes."""
+
+import asyncio
+import hashlib
+import json
+import time
+import typing
+import urllib.parse
+from collections import abc
+
+from standins import http3
+
+LOOKUP_S: typing.Final = 0.004
+EXECUTION_S: typing.Final = 0.006
+SHEET_S_PER_MB: typing.Final = 0.02
+MAX_SHEET_BYTES: typing.Final = 16 * 1024 * 1024
+COLD_S: typing.Final = 5.0
+COLD_SPEED: typing.Final = 0.2
+NOT_RUN: typing.Final = {"x-run": "no"}
+EXECUTING_PATHS: typing.Final = ("/reservation", "/confirmation")
+
+Record = abc.Callable[[dict[str, object]], None]
+
+
+class Host:
+    """One upstream host; it answers requests with a fixed number of slots."""
+
+    def __init__(self, service: str, name: str, record: Record, slots: int = 2) -> None:
+        self.service = service
+        self.name = name
+        self.record = record
+        self.slots = slots
+        self.semaphore = asyncio.Semaphore(slots)
+        self.speed = 1.0
+        self.queue_limit = 200
+        self.waiting = 0
+        self.busy = 0
+        self.shedding = False
+        self.draining = False
+        self.started_s = time.monotonic() - COLD_S
+        self.probe_lag_s = 0.0
+        self.probe_lie: dict[str, object] = {}
+        self.executed: dict[str, http3.Response] = {}
+        self.handled = 0
+        self.opened = 0
+
+    @property
+    def current_speed(self) -> float:
+        """The speed, lower while the host is cold after a restart."""
+        cold = time.monotonic() - self.started_s < COLD_S
+        return self.speed * (COLD_SPEED if cold else 1.0)
+
+    async def respond(self, request: http3.Request) -> http3.Response:
+        """Answer a request, or say that it was not run."""
+        deadline_s = float(request.headers.get("x-deadline-ms", "60000")) / 1_000
+        if self.shedding or self.waiting >= self.queue_limit:
+            return http3.Response(503, NOT_RUN, b"")
+        self.waiting += 1
+        try:
+            await asyncio.wait_for(self.semaphore.acquire(), deadline_s)
+        except TimeoutError:
+            return http3.Response(504, NOT_RUN, b"")
+        finally:
+            self.waiting -= 1
+        self.busy += 1
+        try:
+            return await self._work(request)
+        finally:
+            self.busy -= 1
+            self.semaphore.release()
+
+    async def _work(self, request: http3.Request) -> http3.Response:
+        url = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        request_id = request.headers.get("x-request-id", "")
+        self.handled += 1
+        if url.path == "/sheet":
+            size = min(int(query["size"]), MAX_SHEET_BYTES)
+            await asyncio.sleep(SHEET_S_PER_MB * size / 1e6 / self.current_speed)
+            body = make_sheet(query["name"], size)
+            return http3.Response(200, {"x-host": self.name}, body)
+        if url.path in EXECUTING_PATHS:
+            return await self._execute(request_id)
+        await asyncio.sleep(LOOKUP_S / self.current_speed)
+        return self._describe(request_id, "lookup")
+
+    async def _execute(self, request_id: str) -> http3.Response:
+        await asyncio.sleep(EXECUTION_S / self.current_speed)
+        known = self.executed.get(request_id)
+        if known is not None:
+            return known
+        # Nothing can cancel the request between its record and its response.
+        self.record(
+            {
+                "service": self.service,
+                "host": self.name,
+                "request": request_id,
+                "time": time.time(),
+            },
+        )
+        self.executed[request_id] = self._describe(request_id, "executed")
+        return self.executed[request_id]
+
+    def _describe(self, request_id: str, result: str) -> http3.Response:
+        body = {"request": request_id, "service": self.service, "result": result}
+        headers = {"x-host": self.name, "content-type": "application/json"}
+        return http3.Response(200, headers, json.dumps(body).encode())
+
+    def restart(self) -> None:
+        """Forget everything and start cold."""
+        self.executed.clear()
+        self.semaphore = asyncio.Semaphore(self.slots)
+        self.started_s = time.monotonic()
+        self.draining = False
+
+    def describe_health(self) -> dict[str, object]:
+        """Return what the health endpoint says, true or not."""
+        status = "draining" if self.draining else "ok"
+        return {"status": status} | self.probe_lie
+
+    def describe_load(self) -> dict[str, object]:
+        """Return what the load endpoint says, true or not."""
+        load = min(1.0, (self.busy + self.waiting) / self.slots)
+        return {"load": load, "slots": self.slots} | self.probe_lie
+
+
+def make_sheet(name: str, size: int) -> bytes:
+    """Return a sheet's content, which its name and size determine."""
+    return hashlib.shake_128(name.encode()).digest(size)
--- /dev/null
+++ b/standins/http3.py
@@ -0,0 +1,325 @@
+"""HTTP/3 over `aioquic` for the stand-ins: a client, a server and their messages."""
+
+import asyncio
+import ssl
+import typing
+from collections import abc
+
+from aioquic import buffer
+from aioquic.asyncio import protocol as quic_protocol
+from aioquic.asyncio import server as quic_server
+from aioquic.h3 import connection as h3
+from aioquic.h3 import events as h3_events
+from aioquic.quic import configuration, connection, packet
+from aioquic.quic import events as quic_events
+
+from standins import certificates
+
+Address = tuple[str, int]
+Headers = list[tuple[bytes, bytes]]
+IDLE_S: typing.Final = 15.0
+HANDSHAKE_S: typing.Final = 5.0
+WINDOW_BYTES: typing.Final = 4 * 1024 * 1024
+NO_MORE_REQUESTS: typing.Final = (1 << 62) - 4
+
+
+class Request(typing.NamedTuple):
+    """A whole HTTP request."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Response(typing.NamedTuple):
+    """A whole HTTP response."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+Respond = abc.Callable[[Request], abc.Awaitable[Response]]
+
+
+class RefusedError(ConnectionError):
+    """The connection was refused before any request could be sent."""
+
+
+class UnopenedError(ConnectionError):
+    """The handshake did not complete, so no request was sent."""
+
+
+class LostError(ConnectionError):
+    """The connection ended or went silent after a request was sent."""
+
+
+class ClientConnection(h3.H3Connection):
+    """An HTTP/3 connection that remembers whether the server sent GOAWAY."""
+
+    going_away = False
+
+    def _check_control_frame_type(self, frame_type: int) -> None:
+        super()._check_control_frame_type(frame_type)
+        if frame_type == h3.FrameType.GOAWAY:
+            self.going_away = True
+
+
+class Client(quic_protocol.QuicConnectionProtocol):
+    """The caller's end of one connection."""
+
+    def __init__(self, quic: connection.QuicConnection) -> None:
+        super().__init__(quic)
+        self.quic = quic
+        self.http = ClientConnection(quic)
+        self.partial: dict[int, tuple[dict[str, str], bytearray]] = {}
+        self.waiting: dict[int, asyncio.Future[Response]] = {}
+        self.terminated: quic_events.ConnectionTerminated | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Whether new requests may be sent."""
+        return self.terminated is None and not self.http.going_away
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        timeout_s: float,
+    ) -> Response:
+        """Send a request and wait for the whole response.
+
+        Raises
+        ------
+        LostError
+            If the connection ends, or nothing arrives within the time.
+        """
+        if self.terminated is not None:
+            raise UnopenedError("the connection ended before the request")
+        stream = self.quic.get_next_available_stream_id()
+        future: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+        self.waiting[stream] = future
+        self.partial[stream] = ({}, bytearray())
+        self.http.send_headers(stream, encode_headers(method, path, headers), True)
+        self.transmit()
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError as error:
+            raise LostError(f"no response in {timeout_s} s") from error
+        finally:
+            self.waiting.pop(stream, None)
+            self.partial.pop(stream, None)
+
+    def cancel_request(self) -> None:
+        """Cancel all outstanding requests."""
+        for stream in list(self.waiting):
+            self.quic.stop_stream(stream, h3.ErrorCode.H3_REQUEST_CANCELLED)
+        self.transmit()
+
+    def send_keepalive(self) -> None:
+        """Send a ping without waiting for its acknowledgement."""
+        self.quic.send_ping(0)
+        self.transmit()
+
+    def quic_event_received(self, event: quic_events.QuicEvent) -> None:
+        """Collect responses and the reason of a termination."""
+        if isinstance(event, quic_events.ConnectionTerminated):
+            self.terminated = event
+            for future in self.waiting.values():
+                if not future.done():
+                    future.set_exception(LostError(event.reason_phrase or "closed"))
+        elif isinstance(event, quic_events.StreamReset):
+            reset = self.waiting.get(event.stream_id)
+            if reset is not None and not reset.done():
+                reset.set_exception(LostError("the stream was reset"))
+        for http_event in self.http.handle_event(event):
+            self._receive(http_event)
+
+    def _receive(self, event: h3_events.H3Event) -> None:
+        if not isinstance(
+            event,
+            h3_events.HeadersReceived | h3_events.DataReceived,
+        ):
+            return
+        entry = self.partial.get(event.stream_id)
+        if entry is None:
+            return
+        headers, body = entry
+        if isinstance(event, h3_events.HeadersReceived):
+            headers.update(decode_headers(event.headers))
+        else:
+            body.extend(event.data)
+        future = self.waiting.get(event.stream_id)
+        if event.stream_ended and future is not None and not future.done():
+            status = int(headers.get(":status", "0"))
+            future.set_result(Response(status, headers, bytes(body)))
+
+
+class Server(quic_protocol.QuicConnectionProtocol):
+    """The upstream's end of one connection; `respond` makes the responses."""
+
+    def __init__(
+        self,
+        quic: connection.QuicConnection,
+        respond: Respond,
+        connections: "set[Server]",
+    ) -> None:
+        super().__init__(quic)
+        self.quic = quic
+        self.respond = respond
+        self.connections = connections
+        self.http = h3.H3Connection(quic)
+        self.partial: dict[int, tuple[dict[str, str], bytearray]] = {}
+        self.tasks: dict[int, asyncio.Task[None]] = {}
+        connections.add(self)
+
+    def send_goaway(self) -> None:
+        """Ask the caller to open another connection for its next request."""
+        frame = h3.encode_frame(
+            h3.FrameType.GOAWAY,
+            buffer.encode_uint_var(NO_MORE_REQUESTS),
+        )
+        stream = self.http._local_control_stream_id
+        assert stream is not None
+        self.quic.send_stream_data(stream, frame)
+        self.transmit()
+
+    def quic_event_received(self, event: quic_events.QuicEvent) -> None:
+        """Start a task per request, and cancel it when the caller cancels."""
+        if isinstance(event, quic_events.ConnectionTerminated):
+            self.connections.discard(self)
+            for task in self.tasks.values():
+                task.cancel()
+        elif isinstance(
+            event,
+            quic_events.StreamReset | quic_events.StopSendingReceived,
+        ):
+            task_or_none = self.tasks.get(event.stream_id)
+            if task_or_none is not None:
+                task_or_none.cancel()
+        for http_event in self.http.handle_event(event):
+            if isinstance(http_event, h3_events.HeadersReceived):
+                headers = decode_headers(http_event.headers)
+                self.partial[http_event.stream_id] = (headers, bytearray())
+            elif isinstance(http_event, h3_events.DataReceived):
+                self.partial[http_event.stream_id][1].extend(http_event.data)
+            else:
+                continue
+            if http_event.stream_ended:
+                self._start(http_event.stream_id)
+
+    def _start(self, stream: int) -> None:
+        headers, body = self.partial.pop(stream)
+        request = Request(headers[":method"], headers[":path"], headers, bytes(body))
+        loop = asyncio.get_running_loop()
+        self.tasks[stream] = loop.create_task(self._answer(stream, request))
+
+    async def _answer(self, stream: int, request: Request) -> None:
+        try:
+            response = await self.respond(request)
+        finally:
+            self.tasks.pop(stream, None)
+        fields = {":status": str(response.status)} | response.headers
+        headers = [(key.encode(), value.encode()) for key, value in fields.items()]
+        self.http.send_headers(stream, headers, end_stream=not response.body)
+        if response.body:
+            self.http.send_data(stream, response.body, end_stream=True)
+        self.transmit()
+
+
+def encode_headers(method: str, path: str, headers: dict[str, str]) -> Headers:
+    """Return the header list of a request."""
+    fields = {
+        ":method": method,
+        ":scheme": "https",
+        ":authority": "upstream",
+        ":path": path,
+    } | headers
+    return [(key.encode(), value.encode()) for key, value in fields.items()]
+
+
+def decode_headers(headers: Headers) -> dict[str, str]:
+    """Return headers as text."""
+    return {key.decode(): value.decode() for key, value in headers}
+
+
+def configure_client() -> configuration.QuicConfiguration:
+    """Return a client configuration that accepts the stand-ins' certificates."""
+    return configuration.QuicConfiguration(
+        is_client=True,
+        alpn_protocols=["h3"],
+        verify_mode=ssl.CERT_NONE,
+        server_name="upstream",
+        idle_timeout=IDLE_S,
+        max_data=WINDOW_BYTES,
+        max_stream_data=WINDOW_BYTES,
+    )
+
+
+async def open_connection(
+    address: Address,
+    timeout_s: float = HANDSHAKE_S,
+) -> Client:
+    """Open a connection from a new source port.
+
+    Raises
+    ------
+    RefusedError
+        If an Initial refused the connection.
+    UnopenedError
+        If the handshake does not complete in time.
+    """
+    loop = asyncio.get_running_loop()
+    quic = connection.QuicConnection(configuration=configure_client())
+    transport, client = await loop.create_datagram_endpoint(
+        lambda: Client(quic),
+        local_addr=("127.0.0.1", 0),
+    )
+    client.connect(address)
+    try:
+        await asyncio.wait_for(client.wait_connected(), timeout_s)
+    except (TimeoutError, ConnectionError) as error:
+        transport.close()
+        ended = client.terminated
+        refused = packet.QuicErrorCode.CONNECTION_REFUSED
+        if ended is not None and ended.error_code == refused:
+            raise RefusedError("refused") from error
+        raise UnopenedError("no handshake") from error
+    return client
+
+
+async def close_connection(client: Client) -> None:
+    """Close a connection and its socket."""
+    client.close()
+    # The close frame leaves at once; the draining period is not waited for.
+    await asyncio.sleep(0)
+    if client._transport is not None:
+        client._transport.close()
+
+
+async def serve(
+    address: Address,
+    respond: Respond,
+    connections: set[Server],
+) -> quic_server.QuicServer:
+    """Listen for HTTP/3 connections."""
+    settings = configuration.QuicConfiguration(
+        is_client=False,
+        alpn_protocols=["h3"],
+        idle_timeout=IDLE_S,
+        max_data=WINDOW_BYTES,
+        max_stream_data=WINDOW_BYTES,
+    )
+    certificates.load_certificate(settings, "upstream")
+
+    def create_protocol(quic: connection.QuicConnection, **_: object) -> Server:
+        return Server(quic, respond, connections)
+
+    return await quic_server.serve(
+        address[0],
+        address[1],
+        configuration=settings,
+        create_protocol=create_protocol,
+    )
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,183 @@
+"""Start the processes of one deployment and read what they recorded."""
+
+import json
+import pathlib
+import signal
+import typing
+import urllib.error
+import urllib.request
+
+from tools import layouts, processes
+
+START_LIMIT_S: typing.Final = 20.0
+BALANCER_FILE: typing.Final = """\
+[balancer]
+name = {name}
+zone = {zone}
+peer_address = {peer}
+control_address = {control}
+metrics_address = {metrics}
+key = {key}
+
+[services]
+{services}
+
+[seeds]
+{seeds}
+
+[tunables]
+leave_timeout_s = {leave_timeout_s}
+"""
+
+
+class Fleet:
+    """The processes of a deployment, except those that keep its tables."""
+
+    def __init__(
+        self,
+        layout: layouts.Layout,
+        supervisor: processes.Supervisor,
+        balancers: int = layouts.BALANCERS,
+        leave_timeout_s: float = 30.0,
+    ) -> None:
+        self.layout = layout
+        self.supervisor = supervisor
+        self.vms = layout.list_vms()[:balancers]
+        self.leave_timeout_s = leave_timeout_s
+
+    @property
+    def directory(self) -> pathlib.Path:
+        """Where settings and records are."""
+        return self.supervisor.directory
+
+    def name(self, process: str) -> str:
+        """Return a process's name in the supervisor."""
+        return f"{self.layout.name}-{process}"
+
+    def start_balancer(self, number: int) -> None:
+        """Start one balancer from a settings file."""
+        vm = self.vms[number]
+        services = "\n".join(
+            f"{service.name} = {self.layout.find_listener(number, index)}"
+            for index, service in enumerate(self.layout.services)
+        )
+        seeds = "\n".join(
+            f"{other.name} = {other.address}" for other in self.vms if other != vm
+        )
+        path = self.directory / f"{self.name(vm.name)}.ini"
+        path.write_text(
+            BALANCER_FILE.format(
+                name=vm.name,
+                zone=vm.zone,
+                peer=vm.address,
+                control=self.layout.find_control(number),
+                metrics=self.layout.find_metrics(number),
+                key=layouts.KEY,
+                services=services,
+                seeds=seeds,
+                leave_timeout_s=self.leave_timeout_s,
+            ),
+        )
+        self.supervisor.start(
+            self.name(vm.name),
+            "pistachioshed.apps.balancer",
+            ["--settings", str(path)],
+        )
+
+    def start_balancers(self) -> None:
+        """Start all balancers and wait until they listen."""
+        for number in range(len(self.vms)):
+            self.start_balancer(number)
+        for vm in self.vms:
+            self.supervisor.wait_for_line(
+                self.name(vm.name), '"started"', START_LIMIT_S
+            )
+
+    def start_upstreams(self) -> None:
+        """Start one process per service, with all its hosts."""
+        for index, service in enumerate(self.layout.services):
+            arguments = ["--service", service.name, "--record", str(self.record_file)]
+            for row in self.layout.build_table(index).rows:
+                arguments += ["--host", f"{row.upstream}={row.address}"]
+            name = self.name(f"upstream-{service.name}")
+            self.supervisor.start(name, "standins.upstream", arguments)
+        for service in self.layout.services:
+            name = self.name(f"upstream-{service.name}")
+            self.supervisor.wait_for_line(name, '"ready"', START_LIMIT_S)
+
+    def start_fabric(self, seed: int) -> None:
+        """Start the fabric in front of all balancers."""
+        arguments = ["--admin", self.layout.find_admin(), "--seed", str(seed)]
+        arguments += ["--delay-ms", str(self.layout.delay_ms)]
+        for index, service in enumerate(self.layout.services):
+            arguments += [
+                "--service",
+                f"{service.name}={self.layout.find_front(index)}",
+            ]
+            for number, vm in enumerate(self.vms):
+                listener = self.layout.find_listener(number, index)
+                arguments += ["--balancer", f"{service.name}={vm.name}={listener}"]
+        self.supervisor.start(self.name("fabric"), "standins.fabric", arguments)
+        self.supervisor.wait_for_line(self.name("fabric"), '"ready"', START_LIMIT_S)
+
+    def start_callers(self, group: int, callers: int, seconds: float) -> str:
+        """Start a process of callers and return its name."""
+        arguments = ["--callers", str(callers), "--seconds", str(seconds)]
+        arguments += ["--history", str(self.history_file)]
+        arguments += ["--executing", self.layout.executing]
+        arguments += ["--seed", str(group), "--prefix", f"caller-{group}"]
+        for index, service in enumerate(self.layout.services):
+            front = self.layout.find_front(index)
+            arguments += ["--service", f"{service.name}={front}={service.mix}"]
+        name = self.name(f"callers-{group}")
+        self.supervisor.start(name, "standins.caller", arguments)
+        return name
+
+    def kill_balancer(self, number: int) -> None:
+        """Kill a balancer as a crash of its VM would."""
+        name = self.name(self.vms[number].name)
+        self.supervisor.send_signal(name, signal.SIGKILL)
+
+    def remove_from_fabric(self, number: int) -> None:
+        """Let the fabric know that a balancer is gone."""
+        for service in self.layout.services:
+            change: dict[str, object] = {
+                "service": service.name,
+                "remove": [self.vms[number].name],
+            }
+            self.post_fabric("balancers", change)
+
+    def post_fabric(self, path: str, change: dict[str, object]) -> None:
+        """Call the fabric's admin endpoint."""
+        post_json(f"http://{self.layout.find_admin()}/{path}", change)
+
+    @property
+    def record_file(self) -> pathlib.Path:
+        """The upstreams' record of executions."""
+        return self.directory / f"{self.layout.name}-executions.jsonl"
+
+    @property
+    def history_file(self) -> pathlib.Path:
+        """The callers' history of operations."""
+        return self.directory / f"{self.layout.name}-history.jsonl"
+
+
+def post_json(url: str, change: dict[str, object]) -> bytes:
+    """Post a JSON object."""
+    body = json.dumps(change).encode()
+    request = urllib.request.Request(url, body, method="POST")
+    with urllib.request.urlopen(request, timeout=5) as response:
+        return bytes(response.read())
+
+
+def get_json(url: str) -> typing.Any:
+    """Get a JSON object."""
+    with urllib.request.urlopen(url, timeout=5) as response:
+        return json.load(response)
+
+
+def read_lines(path: pathlib.Path) -> list[dict[str, typing.Any]]:
+    """Read a file of JSON lines; a missing file is empty."""
+    if not path.exists():
+        return []
+    return [json.loads(line) for line in path.read_text().splitlines()]
--- /dev/null
+++ b/tools/layouts.py
@@ -0,0 +1,93 @@
+"""The two deployments of the design page, laid out on loopback ports."""
+
+import typing
+
+from pistachioshed.core import events, tables
+
+BALANCERS: typing.Final = 8
+KEY: typing.Final = "4f" * 32
+
+
+class Service(typing.NamedTuple):
+    """A service of a deployment and the mix of requests that callers make."""
+
+    name: str
+    hosts: int
+    mix: str
+
+
+class Layout(typing.NamedTuple):
+    """One deployment; `base` is the first of 1,000 ports."""
+
+    name: str
+    title: str
+    zones: tuple[str, ...]
+    services: tuple[Service, ...]
+    executing: str
+    delay_ms: float
+    base: int
+
+    def list_vms(self) -> tuple[events.Vm, ...]:
+        """Return the balancers, spread over the zones."""
+        return tuple(
+            events.Vm(
+                f"entry-{number + 1}",
+                self.zones[number % len(self.zones)],
+                f"127.0.0.1:{self.base + number}",
+            )
+            for number in range(BALANCERS)
+        )
+
+    def find_listener(self, number: int, service: int) -> str:
+        """Return a balancer's listener address of a service."""
+        return f"127.0.0.1:{self.base + 100 + 20 * service + number}"
+
+    def find_control(self, number: int) -> str:
+        """Return the address of a VM's control process for its balancer."""
+        return f"127.0.0.1:{self.base + 200 + number}"
+
+    def find_metrics(self, number: int) -> str:
+        """Return the address of a balancer's metrics."""
+        return f"127.0.0.1:{self.base + 300 + number}"
+
+    def find_front(self, service: int) -> str:
+        """Return the address that callers use for a service."""
+        return f"127.0.0.1:{self.base + 400 + service}"
+
+    def find_admin(self) -> str:
+        """Return the address of the fabric's admin endpoint."""
+        return f"127.0.0.1:{self.base + 420}"
+
+    def build_table(self, service: int, version: int = 1) -> tables.Table:
+        """Return the first table of a service, its hosts spread over the zones."""
+        name = self.services[service].name
+        rows = tuple(
+            tables.Row(
+                f"{name}-{number + 1}",
+                f"127.0.0.1:{self.base + 500 + 50 * service + number}",
+                self.zones[number % len(self.zones)],
+            )
+            for number in range(self.services[service].hosts)
+        )
+        return tables.Table(name, version, rows, f"edit-{version}")
+
+
+KRASOTAVA: typing.Final = Layout(
+    "krasotava",
+    "Krāsotava Slots SIA",
+    ("riga-a", "riga-b", "riga-c"),
+    (Service("booking", 7, "requests"), Service("sheets", 3, "sheets")),
+    "reservation",
+    1.0,
+    21_000,
+)
+ZILINSKA: typing.Final = Layout(
+    "zilinska",
+    "Žilinská Lisovňa Kravát, s.r.o.",
+    ("hall-a", "hall-b", "cutting-room", "dispatch-office"),
+    (Service("press-console", 7, "requests"), Service("pattern-library", 4, "sheets")),
+    "confirmation",
+    3.0,
+    22_000,
+)
+LAYOUTS: typing.Final = (KRASOTAVA, ZILINSKA)
