Record each try of a request and each opening of a connection

Cause: the history checker judges executions and refusals per request id. Change: callers name every try, upstreams record all executions and openings; the HTTP/3 server has a module of its own.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -28,7 +28,7 @@
 WRITE_SHARE: typing.Final = 0.25
 SHEET_SIZES: typing.Final = (20_000, 100_000, 400_000)
 
-Outcome = typing.Literal["ran", "not_run", "unknown"]
+Outcome = typing.Literal["ran", "not run", "unknown"]
 Write = abc.Callable[[dict[str, object]], None]
 
 
@@ -48,6 +48,51 @@
     method: str
     path: str
 
+    def name_attempt(self, attempt: int) -> str:
+        """Return the request id of one try, so that each can be judged by itself."""
+        return f"{self.request_id}.{attempt}"
+
+
+class Flow:
+    """A caller's session: one connection at a time, reopened when its host drains."""
+
+    def __init__(self, address: http3.Address) -> None:
+        self.address = address
+        self.client: http3.Client | None = None
+        self.keepalive: asyncio.Task[None] | None = None
+        self.broken = ""
+
+    async def request(self, operation: Operation, request_id: str) -> http3.Response:
+        """Send a request over the connection, or over a new one."""
+        if self.client is not None and not self.client.usable:
+            if self.client.terminated is not None:
+                self.broken = "terminated while idle"
+            await self.close()
+        if self.client is None:
+            self.client = await http3.open_connection(self.address)
+            self.keepalive = asyncio.create_task(send_keepalives(self.client))
+        return await self.client.request(
+            operation.method,
+            operation.path,
+            {"x-request-id": request_id, "x-deadline-ms": str(DEADLINE_MS)},
+            REQUEST_TIMEOUT_S,
+        )
+
+    async def close(self) -> None:
+        """Close the connection, if there is one."""
+        if self.keepalive is not None:
+            self.keepalive.cancel()
+        if self.client is not None:
+            await http3.close_connection(self.client)
+        self.client = None
+
+
+async def send_keepalives(client: http3.Client) -> None:
+    """Ping the server until the connection ends."""
+    while client.terminated is None:
+        await asyncio.sleep(KEEPALIVE_S)
+        client.send_keepalive()
+
 
 class Caller:
     """One caller; it uses one connection at a time."""
@@ -78,51 +123,23 @@
 
     async def _run_flow(self, target: Target, long: bool, until_s: float) -> None:
         count = self.choose.randint(20, 60) if long else self.choose.randint(1, 3)
-        client: http3.Client | None = None
-        keepalive: asyncio.Task[None] | None = None
+        flow = Flow(target.address)
         opened_s = time.time()
-        broken = ""
         for _ in range(count):
-            if time.monotonic() >= until_s or self.stopped.is_set() or broken:
+            if time.monotonic() >= until_s or self.stopped.is_set() or flow.broken:
                 break
             operation = self._plan(target)
             for attempt in range(1, MAX_TRIES + 1):
-                invoked_s = time.time()
-                if client is not None and not client.usable:
-                    if client.terminated is not None:
-                        broken = "terminated while idle"
-                    await self._close(client, keepalive)
-                    client = None
-                outcome: Outcome = "not_run"
-                reason = ""
-                response: http3.Response | None = None
-                try:
-                    if client is None:
-                        client = await http3.open_connection(target.address)
-                        keepalive = asyncio.create_task(self._keep_alive(client))
-                    response = await self._send(client, operation)
-                    outcome = "not_run" if "x-run" in response.headers else "ran"
-                    reason = "" if outcome == "ran" else f"status {response.status}"
-                except (http3.RefusedError, http3.UnopenedError) as error:
-                    reason = str(error)
-                except http3.LostError as error:
-                    outcome = "unknown"
-                    reason = broken = str(error)
-                body_ok = response is not None and check_body(operation, response)
-                self._record(operation, target, attempt, invoked_s, outcome, reason)
-                self.counts[outcome] += 1
-                if outcome == "ran" and not body_ok:
-                    self.counts["wrong_body"] += 1
+                outcome = await self._try(flow, target, operation, attempt)
                 # A repetition is safe only when the request certainly did not run.
-                if outcome != "not_run":
+                if outcome != "not run":
                     break
                 await self._pause(RETRY_PAUSE_S * attempt)
             if long:
                 await self._pause(self.choose.random() * 0.6)
-        if client is not None:
-            await self._close(client, keepalive)
+        await flow.close()
         self.counts["flows"] += 1
-        self.counts["broken"] += bool(broken)
+        self.counts["broken"] += bool(flow.broken)
         self.write(
             {
                 "flow": self.name,
@@ -130,25 +147,47 @@
                 "long": long,
                 "opened": opened_s,
                 "closed": time.time(),
-                "broken": broken,
+                "broken": flow.broken,
             },
         )
 
-    async def _send(
+    async def _try(
         self,
-        client: http3.Client,
+        flow: Flow,
+        target: Target,
         operation: Operation,
-    ) -> http3.Response:
-        headers = {
-            "x-request-id": operation.request_id,
-            "x-deadline-ms": str(DEADLINE_MS),
+        attempt: int,
+    ) -> Outcome:
+        invoked_s = time.time()
+        request_id = operation.name_attempt(attempt)
+        entry: dict[str, object] = {
+            "caller": self.name,
+            "service": target.service,
+            "operation": operation.kind,
+            "request": request_id,
+            "idempotent": operation.method == "GET",
+            "invoked": invoked_s,
+            "reason": "",
         }
-        return await client.request(
-            operation.method,
-            operation.path,
-            headers,
-            REQUEST_TIMEOUT_S,
-        )
+        outcome: Outcome = "not run"
+        try:
+            response = await flow.request(operation, request_id)
+        except (http3.RefusedError, http3.UnopenedError) as error:
+            entry["reason"] = str(error)
+        except http3.LostError as error:
+            outcome = "unknown"
+            entry["reason"] = flow.broken = str(error)
+        else:
+            if "x-run" in response.headers:
+                entry["reason"] = f"status {response.status}"
+            else:
+                outcome = "ran"
+                answer, whole = read_answer(operation, request_id, response)
+                entry |= {"answer": answer, "whole": whole}
+                entry["host"] = response.headers.get("x-host", "")
+        self.write(entry | {"returned": time.time(), "outcome": outcome})
+        self.counts[outcome] += 1
+        return outcome
 
     def _plan(self, target: Target) -> Operation:
         request_id = str(uuid.UUID(int=self.choose.getrandbits(128), version=4))
@@ -161,43 +200,6 @@
             return Operation(self.executing, request_id, "POST", path)
         return Operation("lookup", request_id, "GET", "/lookup")
 
-    def _record(
-        self,
-        operation: Operation,
-        target: Target,
-        attempt: int,
-        invoked_s: float,
-        outcome: Outcome,
-        reason: str,
-    ) -> None:
-        self.write(
-            {
-                "caller": self.name,
-                "service": target.service,
-                "operation": operation.kind,
-                "request": operation.request_id,
-                "attempt": attempt,
-                "invoked": invoked_s,
-                "returned": time.time(),
-                "outcome": outcome,
-                "reason": reason,
-            },
-        )
-
-    async def _keep_alive(self, client: http3.Client) -> None:
-        while client.terminated is None:
-            await asyncio.sleep(KEEPALIVE_S)
-            client.send_keepalive()
-
-    async def _close(
-        self,
-        client: http3.Client,
-        keepalive: asyncio.Task[None] | None,
-    ) -> None:
-        if keepalive is not None:
-            keepalive.cancel()
-        await http3.close_connection(client)
-
     async def _pause(self, seconds: float) -> None:
         try:
             await asyncio.wait_for(self.stopped.wait(), seconds)
@@ -205,15 +207,22 @@
             return
 
 
-def check_body(operation: Operation, response: http3.Response) -> bool:
-    """Tell whether a response is the whole answer to its own request."""
+def read_answer(
+    operation: Operation,
+    request_id: str,
+    response: http3.Response,
+) -> tuple[str | None, bool]:
+    """Return the request that a response answers, and whether it is whole."""
     if operation.kind == "sheet":
         size = int(operation.path.rpartition("=")[2])
-        return response.body == hosts.make_sheet(operation.request_id, size)
+        content = hosts.make_sheet(operation.request_id, size)
+        # A sheet's content is derived from its name, so a wrong one shows.
+        answers = response.body[:64] == content[:64]
+        return request_id if answers else None, response.body == content
     try:
-        return bool(json.loads(response.body)["request"] == operation.request_id)
+        return str(json.loads(response.body)["request"]), True
     except (ValueError, KeyError):
-        return False
+        return None, False
 
 
 def parse_target(text: str) -> Target:
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -74,15 +74,18 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         request_id = request.headers.get("x-request-id", "")
         self.handled += 1
+        if url.path in EXECUTING_PATHS:
+            return await self._execute(request_id)
         if url.path == "/sheet":
             size = min(int(query["size"]), MAX_SHEET_BYTES)
             await asyncio.sleep(SHEET_S_PER_MB * size / 1e6 / self.current_speed)
             body = make_sheet(query["name"], size)
-            return http3.Response(200, {"x-host": self.name}, body)
-        if url.path in EXECUTING_PATHS:
-            return await self._execute(request_id)
-        await asyncio.sleep(LOOKUP_S / self.current_speed)
-        return self._describe(request_id, "lookup")
+            response = http3.Response(200, {"x-host": self.name}, body)
+        else:
+            await asyncio.sleep(LOOKUP_S / self.current_speed)
+            response = self._describe(request_id, "lookup")
+        self._record_execution(request_id)
+        return response
 
     async def _execute(self, request_id: str) -> http3.Response:
         await asyncio.sleep(EXECUTION_S / self.current_speed)
@@ -90,17 +93,22 @@
         if known is not None:
             return known
         # Nothing can cancel the request between its record and its response.
-        self.record(
-            {
-                "service": self.service,
-                "host": self.name,
-                "request": request_id,
-                "time": time.time(),
-            },
-        )
+        self._record_execution(request_id)
         self.executed[request_id] = self._describe(request_id, "executed")
         return self.executed[request_id]
 
+    def note_opening(self, flow: bytes) -> None:
+        """Record a new connection by the id that its caller chose."""
+        self.opened += 1
+        self._write_record(flow=flow.hex())
+
+    def _record_execution(self, request_id: str) -> None:
+        self._write_record(request=request_id)
+
+    def _write_record(self, **fields: str) -> None:
+        entry = {"service": self.service, "host": self.name, "time": time.time()}
+        self.record(entry | fields)
+
     def _describe(self, request_id: str, result: str) -> http3.Response:
         body = {"request": request_id, "service": self.service, "result": result}
         headers = {"x-host": self.name, "content-type": "application/json"}
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -17,7 +17,7 @@
 from twisted.web import http, server
 
 from pistachioshed.adapters import reactors
-from standins import hosts, http3
+from standins import hosts, http3, http3server
 
 ADMIN_FIELDS: typing.Final = {
     "speed": float,
@@ -40,7 +40,7 @@
         self.host = host
         self.address = address
         self.reactor = reactor
-        self.connections: set[http3.Server] = set()
+        self.connections: set[http3server.Server] = set()
         self.quic_server: typing.Any = None
 
     async def start(self) -> None:
@@ -50,10 +50,11 @@
         self.reactor.listenTCP(self.address[1], site, interface=self.address[0])
 
     async def _listen(self) -> None:
-        self.quic_server = await http3.serve(
+        self.quic_server = await http3server.serve(
             self.address,
             self.host.respond,
             self.connections,
+            self.host.note_opening,
         )
 
     async def drain(self) -> None:
@@ -80,6 +81,7 @@
         return {
             "host": self.host.name,
             "service": self.host.service,
+            "opened": self.host.opened,
             "handled": self.host.handled,
             "connections": len(self.connections),
             "executed": len(self.host.executed),
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -9,7 +9,7 @@
 
 from pistachioshed.adapters import quic
 from pistachioshed.core import events
-from standins import hosts, http3
+from standins import hosts, http3, http3server
 from tests import quicbuilders
 
 STREAMS: typing.Final = 50
@@ -119,7 +119,7 @@
 
     async def run() -> list[bytes]:
         host = hosts.Host("sheets", "sheets-1", lambda entry: None, slots=STREAMS)
-        server = await http3.serve(("127.0.0.1", 0), host.respond, set())
+        server = await http3server.serve(("127.0.0.1", 0), host.respond, set())
         assert server._transport is not None
         address = server._transport.get_extra_info("sockname")
         sprayer = quicbuilders.Sprayer(address, seed=1)
