--- /dev/null
+++ b/src/pistachioshed/core/records.py
@@ -0,0 +1,158 @@
+"""What a balancer holds of each other member, and which of two claims wins."""
+
+import typing
+from collections import abc
+
+import xxhash
+
+from pistachioshed.core import events, settings, wire
+
+STATES: typing.Final = ("joining", "active", "leaving", "left")
+JOINING, ACTIVE, LEAVING, LEFT = range(4)
+CONDITIONS: typing.Final = ("alive", "suspect", "dead")
+ALIVE, SUSPECT, DEAD = range(3)
+
+
+class Record:
+    """The newest claim about one member and the time at which it was learned.
+
+    `probes_here` tells that this node's own probe raised the suspicion, so that this
+    node repeats the ping that lets the suspect refute it.
+    """
+
+    __slots__ = ("claim", "probes_here", "since")
+
+    def __init__(self, claim: wire.Claim, since: float) -> None:
+        self.claim = claim
+        self.since = since
+        self.probes_here = False
+
+    @property
+    def is_live(self) -> bool:
+        """Tell whether the member takes part in the membership."""
+        return self.claim.condition != DEAD and self.claim.state != LEFT
+
+    @property
+    def is_owner(self) -> bool:
+        """Tell whether the member owns flows; a suspect does until confirmed dead."""
+        return self.claim.condition != DEAD and self.claim.state == ACTIVE
+
+
+def supersedes(claim: wire.Claim, held: wire.Claim) -> bool:
+    """Tell whether a claim replaces the one held.
+
+    Only the member itself raises its incarnation, with each change of its state. At
+    one incarnation the worse condition wins, so that claims from different senders
+    give the same result in any order.
+    """
+    return (claim.incarnation, claim.condition) > (held.incarnation, held.condition)
+
+
+def contradicts(claim: wire.Claim, own: wire.Claim) -> bool:
+    """Tell whether a claim about this node has to be refuted.
+
+    Besides a suspicion, this is a claim that an earlier run under the same name left
+    behind.
+    """
+    if claim.incarnation != own.incarnation:
+        return claim.incarnation > own.incarnation
+    return claim != own
+
+
+class Roster:
+    """The claim of this node, its records of the others, and the VM list.
+
+    Parameters
+    ----------
+    settings : settings.Settings
+        Names this node and its seeds.
+    """
+
+    def __init__(self, settings: settings.Settings) -> None:
+        self.name = settings.name
+        self.seeds = frozenset(settings.seeds)
+        self.listed: dict[str, events.Vm] = {}
+        self.members: dict[str, Record] = {}
+        capacity = max(1, round(settings.capacity * 1_000))
+        self.own = wire.Claim(0, JOINING, ALIVE, capacity)
+
+    def knows(self, peer: str) -> bool:
+        """Tell whether a peer may be a member, or is one that is still live."""
+        if peer == self.name:
+            return False
+        record = self.members.get(peer)
+        return (
+            peer in self.listed
+            or peer in self.seeds
+            or (record is not None and record.is_live)
+        )
+
+    def list_live(self) -> list[str]:
+        """Return the members to probe and to gossip with."""
+        return [name for name, record in self.members.items() if record.is_live]
+
+    def list_absent(self) -> set[str]:
+        """Return who may be a member and is not, other than those that left."""
+        return {
+            name
+            for name in (self.listed.keys() | self.seeds) - {self.name}
+            if name not in self.members or self.members[name].claim.condition == DEAD
+        }
+
+    def list_owners(self) -> dict[str, wire.Claim]:
+        """Return the claims of the active members, this node included."""
+        owners = {
+            name: record.claim
+            for name, record in self.members.items()
+            if record.is_owner
+        }
+        if self.own.state == ACTIVE:
+            owners[self.name] = self.own
+        return owners
+
+    def describe(self, names: abc.Iterable[str]) -> tuple[wire.Update, ...]:
+        """Return updates about other members."""
+        return tuple(
+            wire.Update(name, self.members[name].claim)
+            for name in names
+            if name in self.members
+        )
+
+    def disagrees(self, peer: str, claim: wire.Claim) -> bool:
+        """Tell whether a peer makes another claim than the one held of it."""
+        record = self.members.get(peer)
+        return record is not None and record.claim != claim
+
+    def doubts(self, peer: str) -> bool:
+        """Tell whether a peer is held suspect or dead."""
+        record = self.members.get(peer)
+        return record is not None and record.claim.condition != ALIVE
+
+    def forget_absent(self, now: float, age_s: float) -> list[str]:
+        """Drop and return members gone for long that the VM list no longer has."""
+        forgotten = [
+            name
+            for name, record in self.members.items()
+            if not record.is_live
+            and name not in self.listed
+            and now >= record.since + age_s
+        ]
+        for name in forgotten:
+            del self.members[name]
+        return forgotten
+
+    def compute_digest(self) -> int:
+        """Return a 32-bit sum of the live members that does not depend on order.
+
+        Suspicion is left out: it changes often and settles by itself.
+        """
+        digest = _hash_claim(self.name, self.own)
+        for name, record in self.members.items():
+            if record.is_live:
+                digest ^= _hash_claim(name, record.claim)
+        return digest
+
+
+def _hash_claim(name: str, claim: wire.Claim) -> int:
+    text = f"{name}/{claim.incarnation}/{claim.state}"
+    return xxhash.xxh32_intdigest(text.encode())
