Add freezes and zone partitions to the experiment network

Cause: the failures to prove include a paused balancer and a zone that is cut off. Change: a frozen balancer keeps a bounded backlog and takes it in when it wakes; a cut zone loses packets, control messages, probes and edits across the cut.

--- a/src/pistachioshed/lab/fleet.py
+++ b/src/pistachioshed/lab/fleet.py
@@ -11,6 +11,8 @@
 
 TICK_S: typing.Final = 0.1
 VM_LIST_LAG_S: typing.Final = 20.0
+# A frozen process takes in what its socket buffers hold; the rest is lost.
+FROZEN_BACKLOG: typing.Final = 500
 CONTROL_KEY: typing.Final = b"experiment"
 
 Task = abc.Callable[[], None]
@@ -101,11 +103,11 @@
         self.relays = 0
         self.drops: dict[str, int] = {}
         self.finished: set[str] = set()
-        self.cuts: set[frozenset[str]] = set()
+        self.isolated: set[str] = set()
         self.loss = 0.0
         self.duplication = 0.0
         self.jitter_s = 0.0
-        self.frozen: set[str] = set()
+        self.backlogs: dict[str, list[tuple[events.Event, Packet | Answer | None]]] = {}
 
     def add_node(
         self,
@@ -133,6 +135,7 @@
     def remove_node(self, name: str) -> None:
         """Stop a balancer at once, as a crash does; the VM list learns it late."""
         self.nodes.pop(name, None)
+        self.backlogs.pop(name, None)
         if name in self.fabric:
             self.fabric.remove(name)
         vm = self.vms[name]
@@ -166,10 +169,37 @@
     ) -> None:
         """Hand an event to a balancer and carry out its actions."""
         node = self.nodes.get(name)
-        if node is None or name in self.frozen:
+        if node is None:
+            return
+        backlog = self.backlogs.get(name)
+        if backlog is not None:
+            if len(backlog) < FROZEN_BACKLOG and not isinstance(event, events.Tick):
+                backlog.append((event, packet))
             return
         for action in node.handle(event, self.clock.now):
             self._carry_out(name, action, packet)
+        if isinstance(event, events.TableReceived):
+            table = event.table
+            self.records.append(
+                history.VersionInForce(
+                    name, table.service, table.version, self.clock.now
+                )
+            )
+
+    def freeze_node(self, name: str, duration_s: float) -> None:
+        """Pause a balancer, as a stop signal does, and let it go on later."""
+        if name in self.nodes:
+            self.backlogs[name] = []
+            self.clock.schedule(duration_s, lambda: self._thaw_node(name))
+
+    def isolate_zone(self, zone: str, duration_s: float) -> None:
+        """Cut a zone from all other zones and from the platform for a time."""
+        self.isolated.add(zone)
+        self.clock.schedule(duration_s, lambda: self.isolated.discard(zone))
+
+    def is_isolated(self, name: str) -> bool:
+        """Tell whether a balancer's zone is cut off."""
+        return self.vms[name].zone in self.isolated
 
     def answer_request(self, request: hosts.Request) -> None:
         """Send a host's answer back on the path that its request came by."""
@@ -182,14 +212,16 @@
     ) -> None:
         if isinstance(action, events.SendUpstream) and isinstance(packet, Packet):
             path = Path(name, action.service, action.upstream, action.port)
-            self._send(name, "", lambda: self._reach_host(path, packet))
+            zone = self.hosts[action.service, action.upstream].zone
+            self._send(name, zone, lambda: self._reach_host(path, packet))
         elif isinstance(action, events.SendOwner) and isinstance(packet, Packet):
             self.relays += 1
             event = events.RelayedPacket(
                 name, packet.service, packet.key, packet.kind, packet.opening_id
             )
             peer = action.peer
-            self._send(name, peer, lambda: self.deliver_event(peer, event, packet))
+            zone = self._find_zone(peer)
+            self._send(name, zone, lambda: self.deliver_event(peer, event, packet))
         elif isinstance(action, events.SendCaller) and isinstance(packet, Answer):
             self._reach_caller(action.flow, packet)
         elif isinstance(action, events.RefuseOpening) and isinstance(packet, Packet):
@@ -200,14 +232,19 @@
             self.control_messages += 1
             message = events.PeerMessage(name, action.payload)
             target = action.peer
-            self._send(name, target, lambda: self.deliver_event(target, message))
+            zone = self._find_zone(target)
+            self._send(name, zone, lambda: self.deliver_event(target, message))
         elif isinstance(action, events.DropPacket):
             self.drops[action.reason] = self.drops.get(action.reason, 0) + 1
         elif isinstance(action, events.Finished):
             self.finished.add(name)
 
-    def _send(self, source: str, target: str, task: Task) -> None:
-        if frozenset((source, target)) in self.cuts:
+    def _find_zone(self, name: str) -> str:
+        return self.vms[name].zone if name in self.vms else ""
+
+    def _send(self, node: str, zone: str, task: Task) -> None:
+        """Send between a balancer and a zone unless exactly one is cut off."""
+        if (self._find_zone(node) in self.isolated) != (zone in self.isolated):
             return
         self._transmit(self.delays.between_zones_s, task)
 
@@ -251,13 +288,18 @@
     def _return_answer(self, path: Path, answer: Answer) -> None:
         event = events.UpstreamPacket(path.service, path.upstream, path.port)
         name = path.node
-        self._send("", name, lambda: self.deliver_event(name, event, answer))
+        zone = self.hosts[path.service, path.upstream].zone
+        self._send(name, zone, lambda: self.deliver_event(name, event, answer))
 
     def _reach_caller(self, key: bytes, answer: Answer) -> None:
         receive = self.receivers.get(key)
         if receive is not None:
             self._transmit(self.delays.to_callers_s, lambda: receive(answer))
 
+    def _thaw_node(self, name: str) -> None:
+        for event, packet in self.backlogs.pop(name, []):
+            self.deliver_event(name, event, packet)
+
     def _tick(self, name: str, node: NodeLike) -> None:
         if self.nodes.get(name) is not node:
             return
--- a/src/pistachioshed/lab/hosts.py
+++ b/src/pistachioshed/lab/hosts.py
@@ -27,6 +27,7 @@
         self,
         service: str,
         name: str,
+        zone: str,
         slots: int,
         speed: float,
         schedule: abc.Callable[[float, abc.Callable[[], None]], None],
@@ -35,6 +36,7 @@
     ) -> None:
         self.service = service
         self.name = name
+        self.zone = zone
         self.slots = slots
         self.speed = speed
         self.schedule = schedule
--- a/src/pistachioshed/lab/world.py
+++ b/src/pistachioshed/lab/world.py
@@ -8,6 +8,7 @@
 
 PROBE_INTERVAL_S: typing.Final = 1.0
 PROBE_LAG_S: typing.Final = 0.5
+REDELIVERY_S: typing.Final = 1.0
 
 
 class World:
@@ -93,6 +94,7 @@
             self.fleet.hosts[service.name, row.upstream] = hosts.Host(
                 service.name,
                 row.upstream,
+                row.zone,
                 row.slots,
                 1.0,
                 self.clock.schedule,
@@ -115,8 +117,12 @@
 
     def _make_delivery(self, name: str, table: tables.Table) -> fleet.Task:
         def deliver() -> None:
-            if name in self.fleet.nodes:
-                self.fleet.deliver_event(name, events.TableReceived(table))
+            if name not in self.fleet.nodes:
+                return
+            if self.fleet.is_isolated(name):
+                self.clock.schedule(REDELIVERY_S, deliver)
+                return
+            self.fleet.deliver_event(name, events.TableReceived(table))
 
         return deliver
 
@@ -141,8 +147,14 @@
         self.clock.schedule(PROBE_INTERVAL_S, self._probe_hosts)
 
     def _make_probe(self, event: events.ProbeReported) -> fleet.Task:
+        zone = self.fleet.hosts[event.service, event.upstream].zone
+
         def deliver() -> None:
+            cut = zone in self.fleet.isolated
             for name in list(self.fleet.nodes):
-                self.fleet.deliver_event(name, event)
+                seen = event
+                if self.fleet.is_isolated(name) != cut:
+                    seen = event._replace(ok=False)
+                self.fleet.deliver_event(name, seen)
 
         return deliver
