Withdraw exceptions that a change of peers left behind

A random history of puts, removals, deaths and joins left stale exceptions at peers: of members that joined together, of flows put again while their removal waited, and of earlier sessions. A stale exception could send a later flow of the same caller to the wrong upstream. Each channel now has its own session, opened by its first batch, and joined members are told to drop what they do not own.

--- a/src/pistachioshed/core/channel.py
+++ b/src/pistachioshed/core/channel.py
@@ -49,7 +49,8 @@
     """Queues towards one peer; one batch is in flight at a time.
 
     With a single batch in flight batches are applied in order, so that a repeated old
-    batch can not undo a newer one.
+    batch can not undo a newer one. The first batch of a channel is sent even if empty:
+    by its session the peer drops what an earlier channel left there.
     """
 
     def __init__(self) -> None:
@@ -58,29 +59,39 @@
         self.removals: dict[Key, None] = {}
         self.marked: dict[str, int] = {}
         self.flight: Flight | None = None
+        self.session = 0
+        self.is_opened = False
         self.sent_at = float("-inf")
 
     @property
     def queued(self) -> int:
-        """The number of exceptions, removals and marks that wait."""
+        """The number of items that wait: exceptions, removals, marks, the opening."""
         bulked = sum(len(bulk.flows) + (bulk.version > 0) for bulk in self.bulks)
-        return len(self.urgent) + bulked + len(self.removals)
+        items = len(self.urgent) + bulked + len(self.removals)
+        return max(items, 0 if self.is_opened else 1)
 
     @property
     def pending(self) -> int:
         """The number of items that the peer has not acknowledged."""
         return self.queued + (self.flight.items if self.flight else 0)
 
-    def add(self, service: str, flow: bytes) -> None:
-        """Queue a new or changed exception."""
+    def add(self, service: str, flow: bytes) -> bool:
+        """Queue a new or changed exception.
+
+        Returns
+        -------
+        bool
+            Whether a removal waited, so that the peer still has an older upstream.
+        """
         self.discard(service, flow)
-        self._cancel_removal(service, flow)
         self.urgent[service, flow] = None
+        return self._cancel_removal(service, flow)
 
-    def add_moved(self, service: str, flow: bytes) -> None:
+    def add_moved(self, service: str, flow: bytes) -> bool:
         """Queue an exception whose backup changed.
 
-        It goes after new exceptions and before those of newer tables.
+        It goes after new exceptions and before those of newer tables. Returns the
+        same as `add`.
         """
         for bulk in self.bulks:
             if bulk.service == service and bulk.version == 0:
@@ -89,7 +100,7 @@
             bulk = Bulk(service, 0, {})
             self.bulks.insert(0, bulk)
         bulk.flows[flow] = None
-        self._cancel_removal(service, flow)
+        return self._cancel_removal(service, flow)
 
     def discard(self, service: str, flow: bytes) -> None:
         """Drop a queued exception."""
@@ -116,6 +127,7 @@
         limit : int
             The bytes that the batch may have.
         """
+        self.is_opened = True
         service = self._choose_service()
         room = limit - BATCH_OVERHEAD_BYTES - len(service.encode())
         flows: list[bytes] = []
@@ -149,16 +161,18 @@
             complete = self._take_bulk(service, fits)
         return Content(service, flows, removals, complete)
 
-    def _cancel_removal(self, service: str, flow: bytes) -> None:
-        if self.removals:
-            self.removals.pop((service, fingerprint_flow(service, flow)), None)
+    def _cancel_removal(self, service: str, flow: bytes) -> bool:
+        if not self.removals:
+            return False
+        key = (service, fingerprint_flow(service, flow))
+        return self.removals.pop(key, self) is None
 
     def _choose_service(self) -> str:
         for service, _ in self.urgent:
             return service
         for service, _ in self.removals:
             return service
-        return self.bulks[0].service
+        return self.bulks[0].service if self.bulks else ""
 
     def _take_bulk(self, service: str, fits: typing.Callable[[bytes], bool]) -> int:
         """Take from the first bulk of a service; return the version it completes."""
--- a/src/pistachioshed/core/inbox.py
+++ b/src/pistachioshed/core/inbox.py
@@ -11,11 +11,15 @@
 
 
 class Source:
-    """One run of an owner: its last batch, its marks and when it stopped owning."""
+    """One session of an owner: its last batch, its marks and when it ended.
 
-    __slots__ = ("bindings", "complete", "gone_at", "number", "session")
+    A session ends when the owner starts another one, or is no longer active.
+    """
 
-    def __init__(self, session: int, gone_at: float | None) -> None:
+    __slots__ = ("bindings", "complete", "gone_at", "number", "owner", "session")
+
+    def __init__(self, owner: str, session: int, gone_at: float | None) -> None:
+        self.owner = owner
         self.session = session
         self.number = -1
         self.complete: dict[str, int] = {}
@@ -31,7 +35,7 @@
 
 
 class Binding(typing.NamedTuple):
-    """The upstream of a received exception and the owner's run that sent it."""
+    """The upstream of a received exception and the session that sent it."""
 
     upstream: str
     source: Source
@@ -60,8 +64,10 @@
         return source.complete.get(service, 0) if source is not None else 0
 
     def apply(self, owner: str, batch: wire.Batch, now: float) -> None:
-        """Take a batch unless a newer one of the same run was taken before."""
+        """Take a batch unless a newer one was taken before."""
         source = self._get_source(owner, batch.session, now)
+        if source is None:
+            return
         if source.gone_at is not None:
             source.gone_at = now
         if batch.number <= source.number:
@@ -91,6 +97,8 @@
     ) -> None:
         """Take the marks that an owner sent at the end of a handover."""
         source = self._get_source(owner, session, now)
+        if source is None:
+            return
         for service, version in versions.items():
             self._mark(source, service, version)
 
@@ -131,15 +139,19 @@
     def _is_expired(self, source: Source, now: float) -> bool:
         return source.gone_at is not None and now >= source.gone_at + self.idle_s
 
-    def _get_source(self, owner: str, session: int, now: float) -> Source:
+    def _get_source(self, owner: str, session: int, now: float) -> Source | None:
+        """Return an owner's session, a new one if needed, None if it has ended."""
         source = self.sources.get(owner)
         if source is not None and source.session == session:
             return source
+        # A batch that was delayed must not end the session that replaced its own.
+        if any((run.owner, run.session) == (owner, session) for run in self.retired):
+            return None
         if source is not None:
             source.gone_at = now
             self.retired.append(source)
         gone_at = None if owner in self.owners else now
-        self.sources[owner] = source = Source(session, gone_at)
+        self.sources[owner] = source = Source(owner, session, gone_at)
         return source
 
     def _mark(self, source: Source, service: str, version: int) -> None:
--- a/src/pistachioshed/core/joins.py
+++ b/src/pistachioshed/core/joins.py
@@ -12,10 +12,19 @@
     """A handover to one joining member.
 
     `flows` holds what was queued for it, so that nothing is sent again once the
-    member is active.
+    member is active. `has_joined` is set from then until all exceptions were
+    compared with the new view.
     """
 
-    __slots__ = ("asked_at", "choice", "flows", "is_done", "number", "started_at")
+    __slots__ = (
+        "asked_at",
+        "choice",
+        "flows",
+        "has_joined",
+        "is_done",
+        "number",
+        "started_at",
+    )
 
     def __init__(self, number: int, choice: hashing.Choice, now: float) -> None:
         self.number = number
@@ -24,6 +33,7 @@
         self.asked_at = now
         self.flows: set[channel.Key] = set()
         self.is_done = False
+        self.has_joined = False
 
 
 class Joiners:
@@ -32,7 +42,6 @@
     def __init__(self, settings: settings.Settings) -> None:
         self.settings = settings
         self.sessions: dict[str, Session] = {}
-        self.taken: dict[str, set[channel.Key]] = {}
         self.owners: frozenset[str] = frozenset()
         self.own_number = 0
         self.done: set[str] = set()
@@ -78,48 +87,72 @@
 
     def forget_flow(self, service: str, flow: bytes) -> list[str]:
         """Forget a flow; return the joining members that it was queued for."""
-        self.forget_taken(service, flow)
         key = (service, flow)
         names = [name for name, held in self.sessions.items() if key in held.flows]
         for name in names:
             self.sessions[name].flows.discard(key)
         return names
 
-    def forget_taken(self, service: str, flow: bytes) -> None:
-        """Take note that a flow changed after its handover."""
-        for flows in self.taken.values():
-            flows.discard((service, flow))
-
     def has_taken(self, name: str, service: str, flow: bytes) -> bool:
-        """Tell whether a member that became active was handed this flow."""
-        return (service, flow) in self.taken.get(name, ())
+        """Tell whether a flow was queued for a member before it became active."""
+        session = self.sessions.get(name)
+        return session is not None and (service, flow) in session.flows
+
+    def release_flow(self, service: str, flow: bytes, target: str) -> list[str]:
+        """Return the members that joined but are not the target of a flow.
+
+        This happens when several members join at the same time.
+        """
+        key = (service, flow)
+        names = [
+            name
+            for name, held in self.sessions.items()
+            if held.has_joined and name != target and key in held.flows
+        ]
+        for name in names:
+            self.sessions[name].flows.discard(key)
+        return names
+
+    def end_joined(self) -> None:
+        """End the sessions of the members that joined."""
+        joined = [name for name, held in self.sessions.items() if held.has_joined]
+        for name in joined:
+            del self.sessions[name]
 
     def is_due(self, name: str, now: float) -> bool:
         """Tell whether a handover to a peer is in progress and in time."""
         session = self.sessions.get(name)
         return (
             session is not None
+            and not session.has_joined
             and now <= session.started_at + self.settings.join_timeout_s
         )
 
     def finish(self, name: str, repeat: bool) -> int:
         """Note that all was sent; return the session to confirm, or 0."""
         session = self.sessions.get(name)
-        if session is None or (session.is_done and not repeat):
+        if session is None or session.has_joined or (session.is_done and not repeat):
             return 0
         session.is_done = True
         return session.number
 
     def set_owners(self, owners: abc.Iterable[str]) -> None:
-        """Take the active owners; sessions of those that joined end."""
+        """Take the active owners."""
         self.owners = frozenset(owners)
-        for name in self.owners & self.sessions.keys():
-            self.taken[name] = self.sessions.pop(name).flows
+        for name, session in list(self.sessions.items()):
+            if name in self.owners:
+                session.has_joined = True
+            elif session.has_joined:
+                del self.sessions[name]
 
     def expire(self, now: float) -> list[str]:
         """Drop sessions of members that neither ask nor became active."""
         limit = now - 2 * self.settings.join_timeout_s
-        expired = [n for n, held in self.sessions.items() if held.asked_at < limit]
+        expired = [
+            name
+            for name, held in self.sessions.items()
+            if held.asked_at < limit and not held.has_joined
+        ]
         for name in expired:
             del self.sessions[name]
         return expired
--- a/src/pistachioshed/core/lifecycle.py
+++ b/src/pistachioshed/core/lifecycle.py
@@ -134,6 +134,9 @@
                 self.finished = now >= self.progress.left_at + LINGER_S
 
     def _tick_joining(self, now: float, table_known: bool) -> None:
+        # Without a table the wait has no bound, and a handover would be out of date.
+        if not table_known:
+            return
         progress = self.progress
         if progress.started_at is None:
             progress.started_at = now
@@ -142,7 +145,7 @@
         is_handed_over = (
             progress.membership.has_probed(now) and progress.replicator.is_handed_over()
         )
-        if table_known and (is_late or is_handed_over):
+        if is_late or is_handed_over:
             self.machine.activate(now)
 
     def _tick_leaving(self, now: float, open_flows: int) -> None:
--- a/src/pistachioshed/core/membership.py
+++ b/src/pistachioshed/core/membership.py
@@ -57,13 +57,15 @@
         self.prober = probes.Prober(self.rng)
         self.rejoiner = probes.Rejoiner(self.rng, settings.rejoin_interval_s)
         self.next_probe_at = 0.0
-        self.last_heard_clock: float | None = None
+        self.last_call_at: float | None = None
         self.last_sync_at = -SYNC_INTERVAL_S
         self.last_change_at = 0.0
+        self.is_view_stale = False
 
     def update_vms(self, vms: abc.Iterable[events.Vm], now: float) -> None:
         """Take the VM list; it bounds who may join and removes no live member."""
         self.roster.listed = {vm.name: vm for vm in vms}
+        self.is_view_stale = True
         self._refresh_view(now)
 
     def knows(self, peer: str) -> bool:
@@ -130,7 +132,7 @@
         return out
 
     def _note_pause(self, now: float) -> None:
-        last, self.last_heard_clock = self.last_heard_clock, now
+        last, self.last_call_at = self.last_call_at, now
         if last is None or now - last <= PAUSE_S:
             return
         self.prober.stop()
@@ -222,11 +224,13 @@
             record.since = now
             record.probes_here = False
         self.last_change_at = now
+        self.is_view_stale = True
         self.spreader.add(name, len(self.roster.members), at_once)
 
     def _raise_incarnation(self, above: int, now: float) -> None:
         self.roster.own = self.roster.own._replace(incarnation=above + 1)
         self.last_change_at = now
+        self.is_view_stale = True
         self.spreader.add(self.settings.name, len(self.roster.members), at_once=True)
         self._refresh_view(now)
 
@@ -278,6 +282,9 @@
         return [wire.Outgoing(peer, message) for peer in peers]
 
     def _refresh_view(self, now: float) -> None:
+        if not self.is_view_stale:
+            return
+        self.is_view_stale = False
         owners = self.roster.list_owners()
         members = tuple(
             Member(name, self._find_zone(name), owners[name].capacity / 1_000)
--- a/src/pistachioshed/core/replication.py
+++ b/src/pistachioshed/core/replication.py
@@ -65,7 +65,6 @@
         entry.upstream = upstream
         if entry.target:
             self._queue(entry, service, flow, moved=False)
-        self.joiners.forget_taken(service, flow)
         for name in self.joiners.find_owners(service, flow, self.choices):
             self.sender.get_channel(name).add(service, flow)
 
@@ -182,10 +181,10 @@
             self.unsent += not moved
             self.unqueued = True
             entry.target = ""
-        elif moved:
-            peer.add_moved(service, flow)
-        else:
-            peer.add(service, flow)
+            return
+        add = peer.add_moved if moved else peer.add
+        # What the peer still has from before must be withdrawn with the exception.
+        entry.sent |= add(service, flow)
 
     def _withdraw(self, entry: sender.Entry, service: str, flow: bytes) -> None:
         peer = self.sender.channels.get(entry.target)
@@ -201,6 +200,7 @@
             peer.removals[service, channel.fingerprint_flow(service, flow)] = None
 
     def _mark_closed(self) -> None:
+        """Queue the marks that peers lack, and open the channels that are new."""
         for choice in self.others:
             peer = self.sender.get_channel(choice.name)
             for service, version in self.closed.items():
@@ -230,7 +230,7 @@
                 return
         self.scan = None
         self.lost_peers.clear()
-        self.joiners.taken.clear()
+        self.joiners.end_joined()
         if not self.unqueued:
             self._mark_closed()
 
@@ -241,6 +241,8 @@
         for name in self.joiners.find_new_owners(service, flow, self.choices):
             self.sender.get_channel(name).add_moved(service, flow)
         target = self._choose_target(flow)
+        for name in self.joiners.release_flow(service, flow, target):
+            self._queue_removal(name, service, flow)
         if target == entry.target and target not in self.lost_peers:
             return
         self._withdraw(entry, service, flow)
@@ -258,7 +260,8 @@
         session = self.joiners.finish(name, repeat)
         if not session:
             return []
-        done = wire.HandoverDone(session, self.sender.session, dict(self.closed))
+        own_session = self.sender.open_session(name)
+        done = wire.HandoverDone(session, own_session, dict(self.closed))
         return [self.sender.charge(name, done, now)]
 
     def _is_urgent(self, name: str, now: float) -> bool:
--- a/src/pistachioshed/core/sender.py
+++ b/src/pistachioshed/core/sender.py
@@ -52,7 +52,7 @@
         self.exceptions = exceptions
         self.is_urgent = is_urgent
         self.channels: dict[str, channel.Channel] = {}
-        self.session = 0
+        self.last_session = 0
         self.last_number = 0
         rate = settings.replication_bytes_per_s
         self.bucket = budget.TokenBucket(rate, max(rate, channel.MAX_BATCH_BYTES))
@@ -68,6 +68,18 @@
             peer = self.channels[name] = channel.Channel()
         return peer
 
+    def open_session(self, name: str) -> int:
+        """Return the session of the channel to a peer.
+
+        A new channel gets a new session, so that the peer drops what was not withdrawn
+        there while the peers were apart.
+        """
+        peer = self.get_channel(name)
+        if not peer.session:
+            self.last_session += 1
+            peer.session = self.last_session
+        return peer.session
+
     def count_pending(self, name: str) -> int:
         """Return how many items a peer has not acknowledged."""
         peer = self.channels.get(name)
@@ -75,9 +87,9 @@
 
     def refill(self, now: float) -> None:
         """Let time pass for the budgets."""
-        if not self.session:
-            # Tells this run from an earlier one of the same name.
-            self.session = int(now * 1_000) % 2**32 + 1
+        if not self.last_session:
+            # Tells the channels of this run from those of an earlier run.
+            self.last_session = int(now * 1_000) % 2**32
         self.bucket.refill(now)
         self.burst_bucket.refill(now)
 
@@ -111,7 +123,8 @@
         peer = self.channels.get(name)
         if peer is None or peer.flight is None:
             return []
-        if (ack.session, ack.number) != (self.session, peer.flight.batch.number):
+        batch = peer.flight.batch
+        if (ack.session, ack.number) != (batch.session, batch.number):
             return []
         peer.flight = None
         # Within the normal budget the next batch waits for a tick, and its turn.
@@ -154,7 +167,7 @@
         content = peer.take(self._find_upstream, channel.MAX_BATCH_BYTES)
         self.last_number += 1
         batch = wire.Batch(
-            self.session,
+            self.open_session(name),
             self.last_number,
             content.service,
             self._group_flows(name, content),
--- a/src/pistachioshed/core/wire.py
+++ b/src/pistachioshed/core/wire.py
@@ -18,6 +18,8 @@
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+# Empty in a batch that only opens a session.
+ServiceName = typing.Annotated[str, msgspec.Meta(max_length=255)]
 # Capacity travels in thousandths: 3 bytes instead of 9 for a float.
 Capacity = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000_000)]
 
@@ -78,14 +80,14 @@
 class Batch(typing.NamedTuple):
     """Exceptions of one service, acknowledged by number.
 
-    `session` tells apart two runs of the sender. `puts` holds per upstream the
+    `session` changes when the sender starts afresh. `puts` holds per upstream the
     joined fingerprints, `removals` joined fingerprints; a `complete` above 0 is the
     table version through which the sender's exceptions are now all at the receiver.
     """
 
     session: Count
     number: Count
-    service: Name
+    service: ServiceName
     puts: dict[str, bytes] = {}
     removals: bytes = b""
     complete: Count = 0
@@ -108,7 +110,7 @@
 class HandoverDone(typing.NamedTuple):
     """All exceptions for the joining member were acknowledged.
 
-    `session` is that of the request, `sender_session` that of the sender's batches.
+    `session` is that of the request, `sender_session` that of the batches.
     `complete` holds per service the version that the sender has marked complete.
     """
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -124,6 +124,52 @@
     assert not find_missing(network, flows, "entry-000")
 
 
+def test_mark_waits_for_a_flow_put_again() -> None:
+    """Guards against a mark that overtakes a flow which left its version's queue."""
+    queue = channel.Channel()
+    for _ in range(2):
+        for flow in FLOWS[:300]:
+            queue.add(SERVICE, flow)
+        queue.close(SERVICE, 2) if not queue.bulks else None
+    marks = [queue.take(lambda _: "booking-1", 1_100).complete for _ in range(2)]
+    assert marks == [0, 2]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_any_history_ends_with_each_exception_at_its_backup(seed: int) -> None:
+    """Guards against lost, stale or leaked exceptions after changes in any order."""
+    network = fakes.Network(seed, 5, loss=0.1)
+    network.start_all(replication_bytes_per_s=600)
+    rng = network.rng
+    for _ in range(150):
+        for flow in rng.sample(FLOWS[:300], 20):
+            # An earlier owner's binding ends when the flow is put at a later one.
+            for peer in network.peers.values():
+                peer.replicator.remove(SERVICE, flow)
+            if rng.random() < 0.5:
+                replicator = network.peers[choose_owner(network, flow)].replicator
+                replicator.put(SERVICE, flow, f"booking-{rng.randrange(3)}")
+        vm = rng.choice(network.vms[1:]).name
+        if rng.random() < 0.03 and vm in network.peers and len(network.peers) > 3:
+            del network.peers[vm]
+        elif rng.random() < 0.1 and vm not in network.peers:
+            network.start(vm)
+        network.run(0.2)
+    network.run(80)
+    expected, held = {}, {}
+    for name, peer in network.peers.items():
+        assert peer.replicator.is_flushed()
+        for flow, entry in peer.replicator.exceptions.get(SERVICE, {}).items():
+            mark = channel.fingerprint_flow(SERVICE, flow)
+            expected[name, entry.target, mark] = entry.upstream
+        flows = peer.replicator.inbox.received.get(SERVICE, {})
+        sources = {id(run): n for n, run in peer.replicator.inbox.sources.items()}
+        for mark, binding in flows.items():
+            held[sources[id(binding.source)], name, mark] = binding.upstream
+    assert len(expected) > 50
+    assert held == expected
+
+
 def test_peer_that_lost_its_state_gets_exceptions_again() -> None:
     """Guards against a backup that left and came back between two scans, empty."""
     own, other = membership.Member("a", "", 1.0), membership.Member("b", "", 1.0)
