--- a/src/pistachioshed/core/hashing.py
+++ b/src/pistachioshed/core/hashing.py
@@ -1,5 +1,6 @@
 """Weighted rendezvous hashing over rows and members."""
 
+import functools
 import math
 import typing
 from collections import abc
@@ -43,12 +44,24 @@
     return [name for _, name in scored]
 
 
+def find_best(key: bytes, choices: abc.Sequence[Choice]) -> str | None:
+    """Return the first name of `rank_choices`, or None if no choice takes keys."""
+    best: tuple[float, str] | None = None
+    for choice in choices:
+        if choice.weight > 0:
+            scored = (score_choice(key, choice), choice.name)
+            if best is None or scored > best:
+                best = scored
+    return None if best is None else best[1]
+
+
 def score_choice(key: bytes, choice: Choice) -> float:
     """Return a choice's score for a key; the highest score wins."""
     digest = xxhash.xxh3_64_intdigest(key, hash_name(choice.name))
     return -choice.weight / math.log((digest + 0.5) / HASH_RANGE)
 
 
+@functools.lru_cache(maxsize=65_536)
 def hash_name(name: str) -> int:
     """Return a 64-bit seed for a name."""
     return xxhash.xxh3_64_intdigest(name.encode())
--- /dev/null
+++ b/src/pistachioshed/core/load.py
@@ -0,0 +1,102 @@
+"""Load of upstreams as this balancer measures it, and its share of their limits."""
+
+import typing
+from collections import abc
+
+LATENCY_GAIN: typing.Final = 0.2
+LATENCY_STALE_S: typing.Final = 10.0
+LATENCY_FLOOR_S: typing.Final = 0.001
+
+
+class Load:
+    """What this balancer knows about one upstream's load.
+
+    `waiting` counts flows whose last request has no response yet, `asked_at` is when
+    the count last rose above 0, and `heard_at` when the upstream last sent anything.
+    """
+
+    __slots__ = (
+        "asked_at",
+        "heard_at",
+        "latency_at",
+        "latency_s",
+        "limit",
+        "open",
+        "probed",
+        "waiting",
+        "weight",
+    )
+
+    def __init__(self) -> None:
+        self.weight = 1.0
+        self.limit = 0
+        self.open = 0
+        self.waiting = 0
+        self.asked_at = 0.0
+        self.heard_at = 0.0
+        self.latency_s = 0.0
+        self.latency_at: float | None = None
+        self.probed = 0.0
+
+    def record_request(self, now: float) -> None:
+        """Count a flow that began to wait for a response."""
+        if not self.waiting:
+            self.asked_at = now
+        self.waiting += 1
+
+    def record_response(self, latency_s: float, now: float) -> None:
+        """Count a response to a waiting flow and average its latency."""
+        self.waiting -= 1
+        if self.latency_at is None or now - self.latency_at > LATENCY_STALE_S:
+            self.latency_s = latency_s
+        else:
+            self.latency_s += LATENCY_GAIN * (latency_s - self.latency_s)
+        self.latency_at = now
+
+    def is_measured(self, now: float) -> bool:
+        """Tell whether the latency is recent enough to act on.
+
+        An upstream that flows avoid yields no new samples, so that an old latency
+        would keep them away after it recovered.
+        """
+        return self.latency_at is not None and now - self.latency_at <= LATENCY_STALE_S
+
+
+def compute_typical_latency(loads: abc.Iterable[Load], now: float) -> float:
+    """Return the mean recent latency, which stands in for unmeasured upstreams."""
+    measured = [load.latency_s for load in loads if load.is_measured(now)]
+    if not measured:
+        return LATENCY_FLOOR_S
+    return max(LATENCY_FLOOR_S, sum(measured) / len(measured))
+
+
+def score_load(load: Load, typical_s: float, now: float) -> float:
+    """Return the expected wait of one more request per unit of weight."""
+    latency_s = load.latency_s if load.is_measured(now) else typical_s
+    return (load.waiting + 1) * max(latency_s, LATENCY_FLOOR_S) / load.weight
+
+
+def compute_limit_share(
+    connections: int, name: str, capacities: abc.Mapping[str, float]
+) -> int:
+    """Return one balancer's part of a row's connection limit.
+
+    The parts of all balancers with the same view add up to the limit exactly: each
+    gets the whole numbers that its interval of the summed capacities covers.
+
+    Parameters
+    ----------
+    connections : int
+        The limit over the fleet.
+    name : str
+        The balancer, a key of `capacities`.
+    capacities : mapping of str to float
+        The capacity of each balancer.
+    """
+    total = sum(capacities.values())
+    below = sum(capacities[other] for other in sorted(capacities) if other < name)
+    upto = below + capacities[name]
+    # An offset of half a connection rounds to the nearest instead of down.
+    return int(connections * upto / total + 0.5) - int(
+        connections * below / total + 0.5
+    )
