--- a/src/pistachioshed/core/flows.py
+++ b/src/pistachioshed/core/flows.py
@@ -1,24 +1,25 @@
-"""Flows of one service: bindings, port slots, idle expiry and refusals."""
+"""Flows of one service: bindings, port slots and remembered openings."""
 
 import collections
 import typing
 from collections import abc
 
-from pistachioshed.core import load
+from pistachioshed.core import health, load
 
 PORT_QUARANTINE_S: typing.Final = 3.0
-MAX_REFUSALS: typing.Final = 100_000
+MAX_REMEMBERED: typing.Final = 100_000
 
 
 class Upstream:
     """One upstream host with its port slots; `ports[port]` is the flow on a slot."""
 
-    __slots__ = ("address", "load", "name", "ports", "released")
+    __slots__ = ("address", "health", "load", "name", "ports", "released")
 
     def __init__(self, name: str, address: str) -> None:
         self.name = name
         self.address = address
         self.load = load.Load()
+        self.health = health.Health()
         self.ports: list[Flow | None] = []
         self.released: collections.deque[tuple[float, int]] = collections.deque()
 
@@ -45,16 +46,50 @@
         self.moved = False
 
 
-class Refusal(typing.NamedTuple):
-    """A refused opening, to be refused again until a time."""
+class Remembered(typing.NamedTuple):
+    """An opening that must not be placed again until a time."""
 
     opening_id: int
     until: float
     reason: str
 
 
+class OpeningMemory:
+    """Openings to remember for one constant duration, at most one per flow."""
+
+    def __init__(self) -> None:
+        self.openings: dict[bytes, Remembered] = {}
+
+    def remember(self, key: bytes, opening_id: int, reason: str, until: float) -> None:
+        """Remember an opening, and forget the oldest one when full."""
+        self.openings.pop(key, None)
+        self.openings[key] = Remembered(opening_id, until, reason)
+        if len(self.openings) > MAX_REMEMBERED:
+            del self.openings[next(iter(self.openings))]
+
+    def find(self, key: bytes, opening_id: int, now: float) -> str | None:
+        """Return the reason why an opening is remembered, None if it is not."""
+        found = self.openings.get(key)
+        if found is None or found.until <= now or found.opening_id != opening_id:
+            return None
+        return found.reason
+
+    def holds(self, key: bytes, now: float) -> bool:
+        """Tell whether any opening of a flow is remembered."""
+        found = self.openings.get(key)
+        return found is not None and found.until > now
+
+    def forget(self, now: float) -> None:
+        """Forget expired openings; they are in order of expiry."""
+        while self.openings:
+            key = next(iter(self.openings))
+            if self.openings[key].until > now:
+                return
+            del self.openings[key]
+
+
 class FlowTable:
-    """The flows, upstreams and remembered refusals of one service.
+    """The bound flows of one service and the openings it must not place.
 
     Parameters
     ----------
@@ -65,15 +100,8 @@
     def __init__(self, port_numbers: abc.Sequence[int]) -> None:
         self.port_numbers = port_numbers
         self.flows: dict[bytes, Flow] = {}
-        self.upstreams: dict[str, Upstream] = {}
-        self.refusals: dict[bytes, Refusal] = {}
-
-    def has_free_port(self, upstream: Upstream, now: float) -> bool:
-        """Tell whether an upstream can take one more flow."""
-        if len(upstream.ports) < len(self.port_numbers):
-            return True
-        released = upstream.released
-        return bool(released) and released[0][0] + PORT_QUARANTINE_S <= now
+        self.refused = OpeningMemory()
+        self.superseded = OpeningMemory()
 
     def bind(
         self, key: bytes, upstream: Upstream, opening_id: int, seen: float
@@ -104,30 +132,17 @@
             upstream.load.waiting -= 1
         del self.flows[flow.key]
 
-    def walk_flows(self) -> abc.Iterator[Flow | None]:
-        """Walk over all port slots; the table may change between steps."""
-        for upstream in list(self.upstreams.values()):
-            for port in range(len(upstream.ports)):
-                yield upstream.ports[port]
-
-    def remember_refusal(self, key: bytes, refusal: Refusal) -> None:
-        """Remember a refused opening, and forget the oldest one when full."""
-        self.refusals.pop(key, None)
-        self.refusals[key] = refusal
-        if len(self.refusals) > MAX_REFUSALS:
-            del self.refusals[next(iter(self.refusals))]
-
-    def find_refusal(self, key: bytes, opening_id: int, now: float) -> Refusal | None:
-        """Return the refusal of this opening, if it is still remembered."""
-        refusal = self.refusals.get(key)
-        if refusal is None or refusal.until <= now or refusal.opening_id != opening_id:
-            return None
-        return refusal
 
-    def forget_refusals(self, now: float) -> None:
-        """Forget expired refusals; they are in order of expiry."""
-        while self.refusals:
-            key = next(iter(self.refusals))
-            if self.refusals[key].until > now:
-                return
-            del self.refusals[key]
+def has_free_port(upstream: Upstream, ports: int, now: float) -> bool:
+    """Tell whether an upstream with a number of port slots can take one more flow."""
+    if len(upstream.ports) < ports:
+        return True
+    released = upstream.released
+    return bool(released) and released[0][0] + PORT_QUARANTINE_S <= now
+
+
+def walk_flows(upstreams: abc.Iterable[Upstream]) -> abc.Iterator[Flow | None]:
+    """Walk over all port slots, which may change between steps."""
+    for upstream in upstreams:
+        for port in range(len(upstream.ports)):
+            yield upstream.ports[port]
--- a/src/pistachioshed/core/generations.py
+++ b/src/pistachioshed/core/generations.py
@@ -32,6 +32,34 @@
     return hashing.find_best(key, generation.choices)
 
 
+class Change(typing.NamedTuple):
+    """Difference of two generations, to tell cheaply which homes stay.
+
+    `unchanged` are the choices in both, `rivals` those that are new or have another
+    weight.
+    """
+
+    unchanged: dict[str, hashing.Choice]
+    rivals: tuple[hashing.Choice, ...]
+
+
+def compare_generations(old: Generation, new: Generation) -> Change:
+    """Return the difference between the choices of two generations."""
+    before = frozenset(old.choices)
+    return Change(
+        {choice.name: choice for choice in new.choices if choice in before},
+        tuple(choice for choice in new.choices if choice not in before),
+    )
+
+
+def keeps_home(change: Change, key: bytes, home: str) -> bool:
+    """Tell whether a flow's home in the old generation surely is its new home."""
+    choice = change.unchanged.get(home)
+    return choice is not None and (
+        hashing.find_best(key, (*change.rivals, choice)) == home
+    )
+
+
 class Generations:
     """The generations of one service, oldest first, versions rising."""
 
--- a/src/pistachioshed/core/hashing.py
+++ b/src/pistachioshed/core/hashing.py
@@ -8,6 +8,10 @@
 import xxhash
 
 HASH_RANGE: typing.Final = 2.0**64
+# The 52 high bits of a digest plus a half are exact as a float, so that the quotient
+# stays below 1 and its logarithm below 0.
+SCORE_RANGE: typing.Final = 2.0**52
+MASK_64: typing.Final = 2**64 - 1
 
 
 class Choice(typing.NamedTuple):
@@ -44,21 +48,23 @@
     return [name for _, name in scored]
 
 
-def find_best(key: bytes, choices: abc.Sequence[Choice]) -> str | None:
+def find_best(key: bytes, choices: abc.Iterable[Choice]) -> str | None:
     """Return the first name of `rank_choices`, or None if no choice takes keys."""
-    best: tuple[float, str] | None = None
-    for choice in choices:
-        if choice.weight > 0:
-            scored = (score_choice(key, choice), choice.name)
-            if best is None or scored > best:
-                best = scored
-    return None if best is None else best[1]
+    best_score, best_name = 0.0, None
+    # The score is computed in place: this runs for each packet that is relayed.
+    for name, weight in choices:
+        if weight > 0:
+            digest = xxhash.xxh3_64_intdigest(key, hash_name(name))
+            score = -weight / math.log(((digest >> 12) + 0.5) / SCORE_RANGE)
+            if score > best_score or (score == best_score and name > (best_name or "")):
+                best_score, best_name = score, name
+    return best_name
 
 
 def score_choice(key: bytes, choice: Choice) -> float:
     """Return a choice's score for a key; the highest score wins."""
     digest = xxhash.xxh3_64_intdigest(key, hash_name(choice.name))
-    return -choice.weight / math.log((digest + 0.5) / HASH_RANGE)
+    return -choice.weight / math.log(((digest >> 12) + 0.5) / SCORE_RANGE)
 
 
 @functools.lru_cache(maxsize=65_536)
@@ -67,6 +73,11 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
+def draw_share(key: bytes, name: str) -> float:
+    """Return a number from 0 to 1 for a key, independent of its ranking."""
+    return xxhash.xxh3_64_intdigest(key, ~hash_name(name) & MASK_64) / HASH_RANGE
+
+
 def fingerprint_flow(service: str, flow: bytes) -> int:
     """Return the 64-bit fingerprint that control messages use for a flow."""
     return xxhash.xxh3_64_intdigest(flow, hash_name(service))
--- a/src/pistachioshed/core/load.py
+++ b/src/pistachioshed/core/load.py
@@ -1,5 +1,6 @@
 """Load of upstreams as this balancer measures it, and its share of their limits."""
 
+import math
 import typing
 from collections import abc
 
@@ -11,8 +12,9 @@
 class Load:
     """What this balancer knows about one upstream's load.
 
-    `waiting` counts flows whose last request has no response yet, `asked_at` is when
-    the count last rose above 0, and `heard_at` when the upstream last sent anything.
+    `waiting` counts flows whose last request has no response yet. `heard_at` is when
+    the upstream last sent anything, `unheard` how many flows began to wait since then
+    and `asked_at` when the first of them did.
     """
 
     __slots__ = (
@@ -23,6 +25,7 @@
         "limit",
         "open",
         "probed",
+        "unheard",
         "waiting",
         "weight",
     )
@@ -32,16 +35,18 @@
         self.limit = 0
         self.open = 0
         self.waiting = 0
+        self.unheard = 0
         self.asked_at = 0.0
-        self.heard_at = 0.0
+        self.heard_at = -math.inf
         self.latency_s = 0.0
         self.latency_at: float | None = None
         self.probed = 0.0
 
     def record_request(self, now: float) -> None:
         """Count a flow that began to wait for a response."""
-        if not self.waiting:
+        if not self.unheard:
             self.asked_at = now
+        self.unheard += 1
         self.waiting += 1
 
     def record_response(self, latency_s: float, now: float) -> None:
--- a/src/pistachioshed/core/node.py
+++ b/src/pistachioshed/core/node.py
@@ -40,13 +40,14 @@
         parts: typing.Any = None,
     ) -> None:
         self.config = config
-        self.policy = policy or placement.build_policy(config)
+        self.policy = policy or placement.build_policy(config, parts.pending)
         self.parts = parts
         self.membership = parts.membership
         self.replicator = parts.replicator
         self.lifecycle = parts.lifecycle
         self.services: dict[str, service.Service] = {}
         self.claims: dict[str, str] = {}
+        self.refused_tables: dict[str, int] = {}
         self.drops: collections.Counter[str] = collections.Counter()
         self.port_numbers = tuple(range(config.ports_per_upstream))
         self.clock = 0.0
@@ -63,6 +64,7 @@
             events.PeerMessage: self._handle_peer,
             events.TableReceived: self._handle_table,
             events.VmsReceived: self._handle_vms,
+            events.ProbeReported: self._handle_probe,
             events.Tick: self._handle_tick,
             events.StopRequested: self._handle_stop,
         }
@@ -142,7 +144,7 @@
         state = self.services.get(event.service)
         if state is None:
             return self._drop("unknown service")
-        upstream = state.table.upstreams.get(event.upstream)
+        upstream = state.pool.upstreams.get(event.upstream)
         if upstream is None or not 0 <= event.port < len(upstream.ports):
             return self._drop("unbound port")
         flow = upstream.ports[event.port]
@@ -151,6 +153,7 @@
         flow.seen = self.clock
         status = flow.upstream.load
         status.heard_at = now
+        status.unheard = 0
         if event.answers and flow.asked_at is not None:
             status.record_response(now - flow.asked_at, now)
             flow.asked_at = None
@@ -171,10 +174,6 @@
         state = self.services.get(table.service)
         if state is not None and table.version <= state.generations.newest.version:
             return []
-        fault = self._find_table_fault(table)
-        if fault is not None:
-            fields = {"service": table.service, "version": table.version}
-            return [events.Notice("table refused", {**fields, "reason": fault})]
         if state is None:
             state = service.Service(
                 table.service,
@@ -184,21 +183,27 @@
                 self.port_numbers,
                 self.claims,
             )
-            self.services[table.service] = state
-        state.accept_table(table, now)
-        state.set_capacities({member.name: member.weight for member in self.members})
-        return []
-
-    def _find_table_fault(self, table: tables.Table) -> str | None:
+        fields: dict[str, object] = {
+            "service": table.service,
+            "version": table.version,
+        }
         try:
             tables.validate_table(table)
         except ExceptionGroup as errors:
-            return "; ".join(str(error) for error in errors.exceptions)
-        for row in table.rows:
-            user = self.claims.get(row.address, table.service)
-            if user != table.service:
-                return f"{row.upstream}: {row.address} is used by service {user}"
-        return None
+            fault: str | None = "; ".join(map(str, errors.exceptions))
+        else:
+            fault = state.pool.find_conflict(table)
+        if fault is not None:
+            if self.refused_tables.get(table.service) == table.version:
+                return []
+            self.refused_tables[table.service] = table.version
+            return [events.Notice("table refused", {**fields, "reason": fault})]
+        self.services[table.service] = state
+        state.accept_table(table, now)
+        state.pool.divide_limits(
+            {member.name: member.weight for member in self.members}
+        )
+        return []
 
     def _handle_vms(self, event: events.VmsReceived, now: float) -> list[events.Action]:
         self.membership.update_vms(event.vms, now)
@@ -209,11 +214,18 @@
     ) -> list[events.Action]:
         return []
 
+    def _handle_probe(
+        self, event: events.ProbeReported, now: float
+    ) -> list[events.Action]:
+        state = self.services.get(event.service)
+        return [] if state is None else state.pool.record_probe(event, now)
+
     def _handle_tick(self, event: events.Tick, now: float) -> list[events.Action]:
         self.clock = now
+        actions: list[events.Action] = []
         for state in self.services.values():
-            state.tick(now)
-        return self._follow_view(now)
+            actions += state.tick(now)
+        return actions + self._follow_view(now)
 
     def _handle_stop(
         self, event: events.StopRequested, now: float
@@ -233,7 +245,7 @@
         )
         self.replicator.set_view(view, now)
         for state in self.services.values():
-            state.set_capacities(
+            state.pool.divide_limits(
                 {member.name: member.weight for member in self.members}
             )
         names = [member.name for member in self.members]
--- a/src/pistachioshed/core/placement.py
+++ b/src/pistachioshed/core/placement.py
@@ -7,116 +7,146 @@
 
 # A moved flow costs one entry to add the exception and one to remove it. Half of the
 # budget is left for flows that have to move and for table changes.
-DEFLECTION_BYTES: typing.Final = 64
+DEFLECTION_BYTES: typing.Final = 32
 DEFLECTION_SHARE: typing.Final = 0.5
 DEFLECTION_BURST_S: typing.Final = 10.0
 # Open flows differ less between equal hosts than latencies do.
 OPEN_FLOWS_HYSTERESIS: typing.Final = 1.05
 
+
+class Candidate(typing.NamedTuple):
+    """A row that can admit the flow; `cold` if slow start asks to spare it."""
+
+    upstream: flows.Upstream
+    cold: bool
+
+
 Policy = abc.Callable[
-    [str | None, abc.Sequence[flows.Upstream], float, float], flows.Upstream | None
+    [str | None, abc.Sequence[Candidate], float, float], flows.Upstream | None
 ]
-"""Choose from the home's name, the rows that can admit the flow in rendezvous order,
-the typical latency and the time; None refuses the opening."""
+"""Choose from the home's name, the candidates in rendezvous order, the typical
+latency and the time; None refuses the opening."""
 
 
 class Budget:
-    """Tokens for deflections, refilled at a constant rate."""
+    """Tokens for moving flows, refilled at the rate that replication can carry.
+
+    Parameters
+    ----------
+    config : Settings
+        Holds the byte budget of replication.
+    count_pending : callable
+        Returns how many exceptions wait to be sent; with more than one second's
+        worth of them there are no tokens.
+    """
 
-    def __init__(self, per_s: float, burst_s: float) -> None:
-        self.per_s = per_s
-        self.most = per_s * burst_s
+    def __init__(
+        self, config: settings.Settings, count_pending: abc.Callable[[], int]
+    ) -> None:
+        self.per_s = (
+            config.replication_bytes_per_s * DEFLECTION_SHARE / DEFLECTION_BYTES
+        )
+        self.most = self.per_s * DEFLECTION_BURST_S
         self.tokens = self.most
         self.filled_at = 0.0
+        self.count_pending = count_pending
 
     def take(self, now: float) -> bool:
         """Take one token, if there is one."""
-        self.tokens = min(self.most, self.tokens + (now - self.filled_at) * self.per_s)
+        gained = (now - self.filled_at) * self.per_s
+        self.tokens = min(self.most, self.tokens + gained)
         self.filled_at = now
-        if self.tokens < 1:
+        if self.tokens < 1 or self.count_pending() > self.most:
             return False
         self.tokens -= 1
         return True
 
 
-def build_budget(config: settings.Settings) -> Budget:
-    """Return the budget of deflections that replication can carry."""
-    per_s = config.replication_bytes_per_s * DEFLECTION_SHARE / DEFLECTION_BYTES
-    return Budget(per_s, DEFLECTION_BURST_S)
-
-
 def choose_first(
     home: str | None,
-    admitted: abc.Sequence[flows.Upstream],
+    candidates: abc.Sequence[Candidate],
     typical_s: float,
     now: float,
 ) -> flows.Upstream | None:
     """Choose the home, or the next row that can admit the flow: weights only."""
-    return admitted[0] if admitted else None
+    return candidates[0].upstream if candidates else None
 
 
 def choose_home(
     home: str | None,
-    admitted: abc.Sequence[flows.Upstream],
+    candidates: abc.Sequence[Candidate],
     typical_s: float,
     now: float,
 ) -> flows.Upstream | None:
     """Choose the home or nothing, for openings that carry requests."""
-    return admitted[0] if admitted and admitted[0].name == home else None
+    if candidates and candidates[0].upstream.name == home:
+        return candidates[0].upstream
+    return None
 
 
-def build_two_candidates(config: settings.Settings, budget: Budget) -> Policy:
+def build_two_candidates(hysteresis: float, budget: Budget) -> Policy:
     """Return a policy that chooses the less loaded of the first two rows.
 
     Parameters
     ----------
-    config : Settings
-        Holds the hysteresis: the factor by which the home must be worse.
+    hysteresis : float
+        The factor by which the home must be worse for the flow to move.
     budget : Budget
-        Limits the flows moved away from an admitting home.
+        Limits the flows that move away from a home that can admit them.
     """
 
     def choose(
         home: str | None,
-        admitted: abc.Sequence[flows.Upstream],
+        candidates: abc.Sequence[Candidate],
         typical_s: float,
         now: float,
     ) -> flows.Upstream | None:
-        if len(admitted) < 2:
-            return admitted[0] if admitted else None
-        first, second = admitted[0], admitted[1]
-        if not _is_worse(first.load, second.load, typical_s, now, config.hysteresis):
-            return first
+        if not candidates:
+            return None
+        first = candidates[0]
+        warm = [candidate.upstream for candidate in candidates if not candidate.cold]
+        if not warm:
+            return first.upstream
+        if first.cold:
+            chosen = warm[0]
+        elif len(warm) > 1 and _is_worse(warm[0], warm[1], typical_s, now, hysteresis):
+            chosen = warm[1]
+        else:
+            return first.upstream
         # A flow whose home can not admit it is an exception wherever it goes.
-        if first.name == home and not budget.take(now):
-            return first
-        return second
+        if first.upstream.name == home and not budget.take(now):
+            return first.upstream
+        return chosen
 
     return choose
 
 
-def build_policy(config: settings.Settings) -> Policy:
+def build_policy(
+    config: settings.Settings, count_pending: abc.Callable[[], int]
+) -> Policy:
     """Return the policy that the settings ask for."""
     if config.openings_carry_requests:
         return choose_home
-    return build_two_candidates(config, build_budget(config))
+    return build_two_candidates(config.hysteresis, Budget(config, count_pending))
 
 
 def _is_worse(
-    first: load.Load,
-    second: load.Load,
+    first: flows.Upstream,
+    second: flows.Upstream,
     typical_s: float,
     now: float,
     hysteresis: float,
 ) -> bool:
-    ours = load.score_load(first, typical_s, now)
-    theirs = load.score_load(second, typical_s, now)
+    ours = load.score_load(first.load, typical_s, now)
+    theirs = load.score_load(second.load, typical_s, now)
     if ours > theirs * hysteresis:
         return True
     if theirs > ours * hysteresis:
         return False
-    # One more flow on the second must not make it the worse one.
+    # One more flow on the second must not make it the worse one. The probed load is
+    # below one flow, so that it decides only between equal numbers of flows.
     return (
-        first.open / first.weight
-        > OPEN_FLOWS_HYSTERESIS * (second.open + 1) / second.weight
+        first.load.open + first.load.probed
+    ) / first.load.weight > OPEN_FLOWS_HYSTERESIS * (
+        (second.load.open + 1 + second.load.probed) / second.load.weight
     )
--- /dev/null
+++ b/src/pistachioshed/core/pool.py
@@ -0,0 +1,228 @@
+"""The upstreams of one service: rows, limits, health and the half-weight rule."""
+
+import functools
+import typing
+from collections import abc
+
+from pistachioshed.core import (
+    events,
+    flows,
+    generations,
+    health,
+    load,
+    placement,
+    settings,
+    tables,
+)
+
+PROBED_LOAD_MAX: typing.Final = 0.9
+
+
+class Pool:
+    """Upstreams that are in the newest table or still have flows.
+
+    `retired` holds those that the newest table does not name, or names at another
+    address; they are forgotten when their last flow is gone.
+
+    Parameters
+    ----------
+    claims : dict of str to str
+        The service that uses each upstream address, shared by all services.
+    """
+
+    def __init__(
+        self, service: str, config: settings.Settings, claims: dict[str, str]
+    ) -> None:
+        self.service = service
+        self.config = config
+        self.claims = claims
+        self.upstreams: dict[str, flows.Upstream] = {}
+        self.retired: list[flows.Upstream] = []
+        self.newest = generations.Generation(0, {}, ())
+
+    def follow_table(self, newest: generations.Generation) -> None:
+        """Add the rows of the table in force and retire those it lacks."""
+        self.newest = newest
+        for row in newest.rows.values():
+            self._add_row(row)
+        for upstream in self.upstreams.values():
+            if upstream.name not in newest.rows and upstream not in self.retired:
+                self.retired.append(upstream)
+
+    def find_conflict(self, table: tables.Table) -> str | None:
+        """Return why a table's addresses can not be used, None if they can."""
+        for row in table.rows:
+            user = self.claims.get(row.address, self.service)
+            if user != self.service:
+                return f"{row.upstream}: {row.address} is used by service {user}"
+            known = self.upstreams.get(row.upstream)
+            other = self._find_address(row.address)
+            if known and other and known.ports is not other.ports:
+                return f"{row.upstream}: {row.address} has flows of {other.name}"
+        return None
+
+    def divide_limits(self, capacities: dict[str, float]) -> None:
+        """Divide the rows' connection limits over the balancers by capacity."""
+        shares = {self.config.name: self.config.capacity} | capacities
+        for row in self.newest.rows.values():
+            status = self.upstreams[row.upstream].load
+            status.weight = row.weight
+            status.limit = load.compute_limit_share(
+                row.connections, self.config.name, shares
+            )
+
+    def find_established(
+        self, name: str, kept: abc.Iterable[generations.Generation], now: float
+    ) -> flows.Upstream | None:
+        """Return an upstream for an established flow, also one no longer in the table.
+
+        Parameters
+        ----------
+        name : str
+            The upstream.
+        kept : iterable of Generation
+            Where to look for the row of a forgotten upstream, oldest first.
+        now : float
+            The time.
+        """
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            rows = [found.rows[name] for found in kept if name in found.rows]
+            if not rows:
+                return None
+            if self.claims.get(rows[-1].address, self.service) != self.service:
+                return None
+            upstream = self._add_row(rows[-1])
+            self.retired.append(upstream)
+        return upstream if self._has_port(upstream, now) else None
+
+    def list_candidates(
+        self, key: bytes, ranked: abc.Sequence[str], now: float
+    ) -> list[placement.Candidate]:
+        """Return the rows that can admit a new flow, in the order given."""
+        return [
+            placement.Candidate(upstream, self._is_cold(upstream, key, now))
+            for upstream in self._list_serving(ranked)
+            if upstream.load.open < upstream.load.limit
+            and self._has_port(upstream, now)
+        ]
+
+    def takes_openings(self, upstream: flows.Upstream) -> bool:
+        """Tell whether a row may get new flows, apart from its limits."""
+        row = self.newest.rows.get(upstream.name)
+        return (
+            row is not None
+            and row.address == upstream.address
+            and row.state == "active"
+            and row.weight > 0
+            and not upstream.health.draining
+            and upstream.health.state != "ejected"
+        )
+
+    def record_probe(
+        self, probe: events.ProbeReported, now: float
+    ) -> list[events.Action]:
+        """Take a probe result as evidence of health and load."""
+        upstream = self.upstreams.get(probe.upstream)
+        if upstream is None:
+            return []
+        if probe.load is not None and probe.load >= 0:
+            upstream.load.probed = min(probe.load, PROBED_LOAD_MAX)
+        before = upstream.health.state
+        may_eject = functools.partial(self._may_eject, upstream)
+        upstream.health.record_probe(probe, upstream.load, may_eject, now)
+        return self._report_health(upstream, before)
+
+    def review(self, now: float) -> list[events.Action]:
+        """Review the health of all upstreams and forget unused ones."""
+        for upstream in tuple(self.retired):
+            self._forget_unused(upstream, now)
+        notices: list[events.Action] = []
+        for upstream in self.upstreams.values():
+            before = upstream.health.state
+            may_eject = functools.partial(self._may_eject, upstream)
+            upstream.health.review(upstream.load, self.config, may_eject, now)
+            notices += self._report_health(upstream, before)
+        return notices
+
+    def _list_serving(self, ranked: abc.Iterable[str]) -> list[flows.Upstream]:
+        staying = [
+            upstream
+            for upstream in map(self.upstreams.__getitem__, ranked)
+            if not upstream.health.draining
+        ]
+        serving = [
+            upstream for upstream in staying if upstream.health.state != "ejected"
+        ]
+        # When all rows that stay are ejected, the evidence is not to be trusted.
+        return serving or staying
+
+    def _has_port(self, upstream: flows.Upstream, now: float) -> bool:
+        return flows.has_free_port(upstream, self.config.ports_per_upstream, now)
+
+    def _is_cold(self, upstream: flows.Upstream, key: bytes, now: float) -> bool:
+        return not upstream.health.is_warm(
+            upstream.name, key, self.config.slow_start_s, now
+        )
+
+    def _may_eject(self, upstream: flows.Upstream) -> bool:
+        """Tell whether the pool keeps enough weight without an upstream."""
+        total = ejected = 0.0
+        for choice in self.newest.choices:
+            other = self.upstreams[choice.name]
+            if not other.health.draining:
+                total += choice.weight
+                if other is upstream or other.health.state == "ejected":
+                    ejected += choice.weight
+        return ejected <= self.config.max_ejected_weight * total
+
+    def _report_health(
+        self, upstream: flows.Upstream, before: health.State
+    ) -> list[events.Action]:
+        if upstream.health.state == before:
+            return []
+        fields: dict[str, object] = {
+            "service": self.service,
+            "upstream": upstream.name,
+            "before": before,
+            "state": upstream.health.state,
+        }
+        return [events.Notice("upstream health changed", fields)]
+
+    def _add_row(self, row: tables.Row) -> flows.Upstream:
+        known = self.upstreams.get(row.upstream)
+        if known is not None and known.address == row.address:
+            if known in self.retired:
+                self.retired.remove(known)
+            return known
+        upstream = flows.Upstream(row.upstream, row.address)
+        # Responses are told apart by address and port and found by name and port, so
+        # rows that have either in common must not use one port for two flows.
+        slots_of = known or self._find_address(row.address)
+        if slots_of is not None:
+            upstream.ports = slots_of.ports
+            upstream.released = slots_of.released
+        if known is not None and known not in self.retired:
+            self.retired.append(known)
+        self.upstreams[row.upstream] = upstream
+        self.claims[row.address] = self.service
+        return upstream
+
+    def _forget_unused(self, upstream: flows.Upstream, now: float) -> None:
+        """Forget a retired upstream once it has neither flows nor late responses."""
+        released = upstream.released
+        if upstream.load.open or (
+            released and released[-1][0] + flows.PORT_QUARANTINE_S > now
+        ):
+            return
+        self.retired.remove(upstream)
+        if self.upstreams.get(upstream.name) is upstream:
+            del self.upstreams[upstream.name]
+        if self._find_address(upstream.address) is None:
+            self.claims.pop(upstream.address, None)
+
+    def _find_address(self, address: str) -> flows.Upstream | None:
+        for upstream in (*self.upstreams.values(), *self.retired):
+            if upstream.address == address:
+                return upstream
+        return None
--- a/src/pistachioshed/core/service.py
+++ b/src/pistachioshed/core/service.py
@@ -11,12 +11,13 @@
     hashing,
     load,
     placement,
+    pool,
     settings,
     tables,
 )
 
 # Bounds the work of one tick to a few milliseconds at hundreds of thousands of flows.
-MOVES_PER_TICK: typing.Final = 2_000
+MOVES_PER_TICK: typing.Final = 1_000
 EXPIRY_TICKS: typing.Final = 50
 EXPIRY_STEPS_MIN: typing.Final = 100
 
@@ -62,40 +63,31 @@
         self.config = config
         self.exceptions = exceptions
         self.policy = policy
-        self.claims = claims
+        self.pool = pool.Pool(name, config, claims)
         self.table = flows.FlowTable(port_numbers)
         self.generations = generations.Generations(config.generations_kept)
-        self.capacities: dict[str, float] = {config.name: config.capacity}
-        self.retired: list[flows.Upstream] = []
         self.changed_at = 0.0
         self.clock = 0.0
+        self._change: generations.Change | None = None
         self._moving: abc.Iterator[flows.Flow | None] | None = None
         self._expiring: abc.Iterator[flows.Flow | None] = iter(())
 
     def accept_table(self, table: tables.Table, now: float) -> bool:
-        """Put a valid table of a higher version in force."""
+        """Put a valid table in force, unless its version is not higher."""
+        previous = self.generations.kept[-1] if self.generations.kept else None
         if not self.generations.add(table):
             return False
         self.changed_at = now
-        for row in table.rows:
-            self._admit_row(row)
-        names = self.generations.newest.rows
-        for upstream in self.table.upstreams.values():
-            if upstream.name not in names and upstream not in self.retired:
-                self.retired.append(upstream)
-        self.set_capacities(self.capacities)
-        self._moving = self.table.walk_flows()
-        return True
-
-    def set_capacities(self, capacities: dict[str, float]) -> None:
-        """Divide the rows' connection limits over the balancers by capacity."""
-        self.capacities = {self.config.name: self.config.capacity} | capacities
-        for row in self.generations.newest.rows.values():
-            state = self.table.upstreams[row.upstream].load
-            state.weight = row.weight
-            state.limit = load.compute_limit_share(
-                row.connections, self.config.name, self.capacities
+        self._change = None
+        # Until the last change is worked through, some flows are marked by an older
+        # table and the difference to the previous one does not apply to them.
+        if previous is not None and self._moving is None:
+            self._change = generations.compare_generations(
+                previous, self.generations.newest
             )
+        self.pool.follow_table(self.generations.newest)
+        self._moving = self._walk_flows()
+        return True
 
     def open_flow(
         self, key: bytes, opening_id: int, settled: bool, now: float
@@ -106,21 +98,24 @@
         the old binding only once it is admitted.
         """
         flow = self.table.flows.get(key)
-        if flow is not None and flow.opening_id == opening_id:
+        if flow is not None and self._belongs(flow, opening_id):
             return flow
-        refusal = self.table.find_refusal(key, opening_id, now)
-        if refusal is not None:
-            return self._refuse(refusal.reason)
+        if self.table.superseded.find(key, opening_id, now) is not None:
+            return events.DropPacket("superseded opening")
+        reason = self.table.refused.find(key, opening_id, now)
+        if reason is not None:
+            return self._refuse(reason)
         strict = self.config.openings_carry_requests
         if strict and not settled and not self.generations.is_home_certain(key):
             return events.DropPacket("home not settled")
-        upstream = self._choose(key, now)
+        upstream = self._choose(key, settled, now)
+        until = now + self.config.refusal_memory_s
         if upstream is None:
-            until = now + self.config.refusal_memory_s
-            refusal = flows.Refusal(opening_id, until, "no upstream admits the flow")
-            self.table.remember_refusal(key, refusal)
-            return self._refuse(refusal.reason)
+            reason = "no upstream admits the flow"
+            self.table.refused.remember(key, opening_id, reason, until)
+            return self._refuse(reason)
         if flow is not None:
+            self.table.superseded.remember(key, flow.opening_id, "", until)
             self.close_flow(key, now)
         return self._bind(key, upstream, opening_id, now)
 
@@ -128,7 +123,8 @@
         self, key: bytes, previous_owner: str | None, now: float
     ) -> flows.Flow | events.DropPacket:
         """Bind a flow from a data packet, without a binding to go by."""
-        if key in self.table.refusals:
+        if self.table.refused.holds(key, now):
+            # The caller may have been told that its request was not run.
             return events.DropPacket("refused flow")
         upstream = self._find_established(key, previous_owner, now)
         if upstream is None:
@@ -138,111 +134,76 @@
     def close_flow(self, key: bytes, now: float) -> None:
         """Forget a flow and its exception, if there are any."""
         flow = self.table.flows.get(key)
-        if flow is None:
-            return
-        self.table.unbind(flow, now)
-        if flow.moved:
-            self.exceptions.remove(self.name, key)
+        if flow is not None:
+            self.table.unbind(flow, now)
+            if flow.moved:
+                self.exceptions.remove(self.name, key)
 
-    def tick(self, now: float) -> None:
+    def tick(self, now: float) -> list[events.Action]:
         """Do a bounded part of the work that spans all flows."""
         self.clock = now
-        self.table.forget_refusals(now)
+        self.table.refused.forget(now)
+        self.table.superseded.forget(now)
         self._expire_flows(now)
-        self._move_flows()
-        for upstream in tuple(self.retired):
-            self._reap(upstream, now)
+        self._mark_flows()
+        return self.pool.review(now)
+
+    def count_active(self, since: float) -> int:
+        """Count the flows with a packet since a time or a response outstanding."""
+        return sum(
+            flow.seen >= since or flow.asked_at is not None
+            for flow in self.table.flows.values()
+        )
+
+    def _belongs(self, flow: flows.Flow, opening_id: int) -> bool:
+        """Tell whether an opening is a retransmission of a flow's own.
+
+        A flow resumed from data does not know its opening. Its upstream can take the
+        opening whether it is a retransmission or a new connection.
+        """
+        if not flow.opening_id and self.pool.takes_openings(flow.upstream):
+            flow.opening_id = opening_id
+        return flow.opening_id == opening_id
 
     def _refuse(self, reason: str) -> events.RefuseOpening:
         return events.RefuseOpening(reason, not self.config.openings_carry_requests)
 
-    def _choose(self, key: bytes, now: float) -> flows.Upstream | None:
-        newest = self.generations.newest
-        upstreams = self.table.upstreams
-        ranked = hashing.rank_choices(key, newest.choices)
-        admitted = [
-            upstreams[name] for name in ranked if self._admits(upstreams[name], now)
-        ]
+    def _choose(self, key: bytes, settled: bool, now: float) -> flows.Upstream | None:
+        ranked = hashing.rank_choices(key, self.generations.newest.choices)
+        candidates = self.pool.list_candidates(key, ranked, now)
+        if not settled and not self.config.openings_carry_requests:
+            # The previous owner may have placed an earlier copy of this opening.
+            placed = self.exceptions.find(self.name, key)
+            for candidate in candidates:
+                if candidate.upstream.name == placed:
+                    return candidate.upstream
         typical_s = load.compute_typical_latency(
-            (upstream.load for upstream in admitted), now
-        )
-        return self.policy(ranked[0] if ranked else None, admitted, typical_s, now)
-
-    def _admits(self, upstream: flows.Upstream, now: float) -> bool:
-        return upstream.load.open < upstream.load.limit and self.table.has_free_port(
-            upstream, now
+            (candidate.upstream.load for candidate in candidates), now
         )
+        home = ranked[0] if ranked else None
+        return self.policy(home, candidates, typical_s, now)
 
     def _find_established(
         self, key: bytes, previous_owner: str | None, now: float
     ) -> flows.Upstream | None:
-        name = self.exceptions.find(self.name, key)
-        if name is not None:
-            upstream = self._revive(name, now)
-            if upstream is not None:
-                return upstream
-        generation = self.generations.newest
+        kept = self.generations.kept
+        names = [self.exceptions.find(self.name, key)]
         if previous_owner is not None:
             version = self.exceptions.complete_through(self.name, previous_owner)
             generation = self.generations.select_through(version)
-        for candidate in (generation, self.generations.newest):
-            name = generations.find_home(candidate, key)
+            names.append(generations.find_home(generation, key))
+        names.append(generations.find_home(self.generations.newest, key))
+        for name in names:
             if name is not None:
-                upstream = self._revive(name, now)
+                upstream = self.pool.find_established(name, kept, now)
                 if upstream is not None:
                     return upstream
         return None
 
-    def _revive(self, name: str, now: float) -> flows.Upstream | None:
-        """Return an upstream by name, also one that the newest table lacks."""
-        upstream = self.table.upstreams.get(name)
-        if upstream is None:
-            for generation in reversed(self.generations.kept):
-                row = generation.rows.get(name)
-                if row is not None:
-                    if self.claims.get(row.address, self.name) != self.name:
-                        return None
-                    upstream = self._admit_row(row)
-                    self.retired.append(upstream)
-                    break
-        if upstream is None or not self.table.has_free_port(upstream, now):
-            return None
-        return upstream
-
-    def _admit_row(self, row: tables.Row) -> flows.Upstream:
-        known = self.table.upstreams.get(row.upstream)
-        if known is not None and known.address == row.address:
-            if known in self.retired:
-                self.retired.remove(known)
-            return known
-        upstream = flows.Upstream(row.upstream, row.address)
-        if known is not None:
-            # Slots are found by name, so flows at the old address share them.
-            upstream.ports = known.ports
-            upstream.released = known.released
-            self.retired.append(known)
-        self.table.upstreams[row.upstream] = upstream
-        self.claims[row.address] = self.name
-        return upstream
-
-    def _reap(self, upstream: flows.Upstream, now: float) -> None:
-        """Forget a removed upstream once it has neither flows nor late responses."""
-        released = upstream.released
-        if upstream.load.open or (
-            released and released[-1][0] + flows.PORT_QUARANTINE_S > now
-        ):
-            return
-        self.retired.remove(upstream)
-        if self.table.upstreams.get(upstream.name) is upstream:
-            del self.table.upstreams[upstream.name]
-        self.claims.pop(upstream.address, None)
-
     def _bind(
         self, key: bytes, upstream: flows.Upstream, opening_id: int, now: float
     ) -> flows.Flow:
-        if now - self.clock > 1.0:
-            self.clock = now
-        flow = self.table.bind(key, upstream, opening_id, self.clock)
+        flow = self.table.bind(key, upstream, opening_id, max(self.clock, now - 1.0))
         self._mark_moved(flow)
         return flow
 
@@ -255,6 +216,9 @@
             self.exceptions.remove(self.name, flow.key)
         flow.moved = moved
 
+    def _walk_flows(self) -> abc.Iterator[flows.Flow | None]:
+        return flows.walk_flows(tuple(self.pool.upstreams.values()))
+
     def _expire_flows(self, now: float) -> None:
         steps = max(EXPIRY_STEPS_MIN, len(self.table.flows) // EXPIRY_TICKS)
         oldest = now - self.config.flow_idle_s
@@ -264,16 +228,20 @@
             if flow is not None and flow.seen < oldest:
                 self.close_flow(flow.key, now)
         if taken < steps:
-            self._expiring = self.table.walk_flows()
+            self._expiring = self._walk_flows()
 
-    def _move_flows(self) -> None:
-        """Find the flows that the newest table made exceptions or homed again."""
+    def _mark_flows(self) -> None:
+        """Find the flows that the newest table moved from or back to their home."""
         if self._moving is None:
             return
         taken = 0
         for flow in itertools.islice(self._moving, MOVES_PER_TICK):
             taken += 1
-            if flow is not None:
+            if flow is not None and not (
+                self._change is not None
+                and not flow.moved
+                and generations.keeps_home(self._change, flow.key, flow.upstream.name)
+            ):
                 self._mark_moved(flow)
         if taken < MOVES_PER_TICK:
             self._moving = None
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -72,3 +72,7 @@
     def close_generation(self, service: str, version: int) -> None:
         """Keep the mark."""
         self.closed.append(version)
+
+    def pending(self) -> int:
+        """Return that nothing waits."""
+        return 0
