--- /dev/null
+++ b/src/pistachioshed/core/flows.py
@@ -0,0 +1,154 @@
+"""Flows of one service: bindings, port slots and remembered openings."""
+
+import collections
+import typing
+from collections import abc
+
+from pistachioshed.core import health, load
+
+PORT_QUARANTINE_S: typing.Final = 3.0
+MAX_REMEMBERED: typing.Final = 100_000
+
+
+class Upstream:
+    """One upstream host with its port slots; `ports[port]` is the flow on a slot."""
+
+    __slots__ = ("address", "health", "load", "name", "ports", "released")
+
+    def __init__(self, name: str, address: str) -> None:
+        self.name = name
+        self.address = address
+        self.load = load.Load()
+        self.health = health.Health()
+        self.ports: list[Flow | None] = []
+        self.released: collections.deque[tuple[float, int]] = collections.deque()
+
+
+class Flow:
+    """A caller's flow that is bound to an upstream and one of its port slots.
+
+    `seen` is the time of the last tick before its last packet, so that flows share
+    one float; `asked_at` is when it began to wait for a response; `moved` tells
+    whether it is an exception, that is bound elsewhere than at its home.
+    """
+
+    __slots__ = ("asked_at", "key", "moved", "opening_id", "port", "seen", "upstream")
+
+    def __init__(
+        self, key: bytes, upstream: Upstream, port: int, opening_id: int, seen: float
+    ) -> None:
+        self.key = key
+        self.upstream = upstream
+        self.port = port
+        self.opening_id = opening_id
+        self.seen = seen
+        self.asked_at: float | None = None
+        self.moved = False
+
+
+class Remembered(typing.NamedTuple):
+    """An opening that must not be placed again until a time."""
+
+    opening_id: int
+    until: float
+    reason: str
+
+
+class OpeningMemory:
+    """Openings to remember for one constant duration, at most one per flow."""
+
+    def __init__(self) -> None:
+        self.openings: dict[bytes, Remembered] = {}
+
+    def remember(self, key: bytes, opening_id: int, reason: str, until: float) -> None:
+        """Remember an opening, and forget the oldest one when full."""
+        self.openings.pop(key, None)
+        self.openings[key] = Remembered(opening_id, until, reason)
+        if len(self.openings) > MAX_REMEMBERED:
+            del self.openings[next(iter(self.openings))]
+
+    def find(self, key: bytes, opening_id: int, now: float) -> str | None:
+        """Return the reason why an opening is remembered, None if it is not."""
+        found = self.openings.get(key)
+        if found is None or found.until <= now or found.opening_id != opening_id:
+            return None
+        return found.reason
+
+    def holds(self, key: bytes, now: float) -> bool:
+        """Tell whether any opening of a flow is remembered."""
+        found = self.openings.get(key)
+        return found is not None and found.until > now
+
+    def forget(self, now: float) -> None:
+        """Forget expired openings; they are in order of expiry."""
+        while self.openings:
+            key = next(iter(self.openings))
+            if self.openings[key].until > now:
+                return
+            del self.openings[key]
+
+
+class FlowTable:
+    """The bound flows of one service and the openings it must not place.
+
+    Parameters
+    ----------
+    port_numbers : sequence of int
+        The port slots of each upstream, shared by all flows to save memory.
+    """
+
+    def __init__(self, port_numbers: abc.Sequence[int]) -> None:
+        self.port_numbers = port_numbers
+        self.flows: dict[bytes, Flow] = {}
+        self.refused = OpeningMemory()
+        self.superseded = OpeningMemory()
+
+    def bind(
+        self, key: bytes, upstream: Upstream, opening_id: int, seen: float
+    ) -> Flow:
+        """Bind an unbound flow to an upstream that has a free port.
+
+        Ports never used come first and released ones in order of release, so that a
+        late response finds its port empty rather than given to another caller.
+        """
+        if len(upstream.ports) < len(self.port_numbers):
+            port = self.port_numbers[len(upstream.ports)]
+            upstream.ports.append(None)
+        else:
+            port = upstream.released.popleft()[1]
+        flow = Flow(key, upstream, port, opening_id, seen)
+        upstream.ports[port] = flow
+        upstream.load.open += 1
+        self.flows[key] = flow
+        return flow
+
+    def unbind(self, flow: Flow, now: float) -> None:
+        """Remove a bound flow and release its port."""
+        upstream = flow.upstream
+        upstream.ports[flow.port] = None
+        upstream.released.append((now, flow.port))
+        upstream.load.open -= 1
+        end_wait(flow)
+        del self.flows[flow.key]
+
+
+def end_wait(flow: Flow) -> None:
+    """Stop counting a flow as waiting for a response."""
+    if flow.asked_at is not None:
+        flow.asked_at = None
+        flow.upstream.load.waiting -= 1
+
+
+def has_free_port(upstream: Upstream, ports: int, now: float) -> bool:
+    """Tell whether an upstream with a number of port slots can take one more flow."""
+    if len(upstream.ports) < ports:
+        return True
+    released = upstream.released
+    return bool(released) and released[0][0] + PORT_QUARANTINE_S <= now
+
+
+def walk_flows(upstreams: abc.Iterable[Upstream]) -> abc.Iterator[Flow | None]:
+    """Walk over all port slots, which may change between steps."""
+    for upstream in upstreams:
+        for port in range(len(upstream.ports)):
+            yield upstream.ports[port]
