Test sheets and whole sessions of the command line

Change: golden sessions against the stand-in, tests of CSV faults, of an idle watch, of progress from a store behind and of address races in both orders; the in-memory connections now move bytes in a fixed order.

--- a/standins/store.py
+++ b/standins/store.py
@@ -47,6 +47,7 @@
     request: http.Request
     key: bytes
     end: bytes
+    start: int
 
 
 class Store:
@@ -75,6 +76,7 @@
                 for event in events
                 if watcher.key <= keyspace.decode_bytes(event["kv"], "key")
                 and keyspace.decode_bytes(event["kv"], "key") < watcher.end
+                and int(event["kv"]["mod_revision"]) >= watcher.start
             ]
             if chosen:
                 self.send(watcher.request, {"events": chosen})
@@ -121,7 +123,7 @@
             return
         key = keyspace.decode_bytes(wanted, "key")
         end = keyspace.decode_bytes(wanted, "range_end") or key + b"\0"
-        watcher = Watcher(request, key, end)
+        watcher = Watcher(request, key, end, start)
         others, self.watchers = self.watchers, [watcher]
         for events in self.keys.read_history(start):
             self.publish(events)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -39,6 +39,15 @@
             return defer.fail(error.ConnectionRefusedError())
         return self.inner.request(method, uri, headers, bodyProducer)
 
+    def flush(self) -> None:
+        """Move all bytes, in the order in which the connections were made."""
+        pumps = sorted(self.inner._pumps, key=lambda pump: pump.clientIO.serial)
+        self.inner._pumps = set()
+        for pump in pumps:
+            pump.flush()
+            if not (pump.clientIO.disconnected and pump.serverIO.disconnected):
+                self.inner._pumps.add(pump)
+
 
 class StoreFixture:
     """A stand-in, its clock and a client."""
@@ -70,7 +79,7 @@
         """Let time pass and move all bytes."""
         for _ in range(max(round(seconds / STEP_SECONDS), 1)):
             self.clock.advance(STEP_SECONDS)
-            self.agent.inner.flush()
+            self.agent.flush()
 
     def start(
         self, coroutine: abc.Coroutine[typing.Any, typing.Any, T]
@@ -87,10 +96,24 @@
         results: list[typing.Any] = []
         self.start(coroutine).addBoth(results.append)
         end = self.clock.seconds() + limit_seconds
-        self.agent.inner.flush()
+        self.agent.flush()
         while not results and self.clock.seconds() < end:
             self.advance(STEP_SECONDS)
         assert results, f"not done within {limit_seconds} s"
         if hasattr(results[0], "raiseException"):
             results[0].raiseException()
         return typing.cast(T, results[0])
+
+
+def run_before_write(
+    store: etcd.EtcdStore, other: abc.Coroutine[typing.Any, typing.Any, object]
+) -> None:
+    """Let another coroutine run to its end before the store's next transaction."""
+    transact = store.transact
+
+    async def wait(*arguments: typing.Any) -> typing.Any:
+        setattr(store, "transact", transact)
+        await other
+        return await transact(*arguments)
+
+    setattr(store, "transact", wait)
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -19,6 +19,8 @@
 from pistachioshed.ports import store as store_port
 from tests import builders, fakes
 
+Work = typing.Coroutine[typing.Any, typing.Any, commits.Result]
+
 AUTHOR = commits.Author("ilze", "2026-01-01T00:00:00+00:00")
 OTHER = commits.Author("jana", "2026-01-01T00:00:01+00:00")
 
@@ -60,7 +62,7 @@
 
 def run_at_once(
     fixture: fakes.StoreFixture,
-    *coroutines: typing.Coroutine[typing.Any, typing.Any, commits.Result],
+    *coroutines: Work,
 ) -> list[typing.Any]:
     """Run edits that all read the table before the first is written."""
     fixture.set_faults(delay_seconds=0.2)
@@ -216,20 +218,28 @@
         run_edit(fixture, weigh(1, -1.0, "a"))
 
 
+@pytest.mark.parametrize("create_first", [False, True])
 def test_address_of_another_service_is_refused_also_in_a_race(
-    fixture: fakes.StoreFixture,
+    fixture: fakes.StoreFixture, create_first: bool
 ) -> None:
     """Guards against packets of one service that reach another's upstream."""
     row = tables.Row("x", "127.0.0.1:9", "riga-a")
     edit = tables.Edit("a", (row,))
-    results = run_at_once(
-        fixture,
-        edits.apply_edit(fixture.store, "booking", edit, 1, AUTHOR),
-        edits.create_table(fixture.store, "sheets", edit._replace(edit_id="b"), OTHER),
-    )
-    assert sorted(type(r).__name__ for r in results) == ["EditRefused", "Result"]
-    refused = next(r for r in results if isinstance(r, rules.EditRefused))
-    assert refused.upstreams == ("x",)
+    racing = fixture.make_client()
+
+    def change(store: store_port.Store) -> Work:
+        return edits.apply_edit(store, "booking", edit, 1, AUTHOR)
+
+    def create(store: store_port.Store) -> Work:
+        return edits.create_table(store, "sheets", edit._replace(edit_id="b"), OTHER)
+
+    first, second = (create, change) if create_first else (change, create)
+    racing = fixture.make_client()
+    # The second edit has checked its address when the first takes effect.
+    fakes.run_before_write(racing, first(fixture.store))
+    with pytest.raises(rules.EditRefused, match="another service") as caught:
+        fixture.run(second(racing))
+    assert caught.value.upstreams == ("x",)
 
 
 def test_audit_is_bounded(
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -61,8 +61,9 @@
     """Guards against one dead store address that stops reads and writes."""
     fixture = fakes.StoreFixture(["127.0.0.1:1", "127.0.0.1:2"])
     fixture.agent.refused.add("127.0.0.1:1")
+    assert fixture.run(fixture.store.get("/a")).pair is None
+    fixture.store = fixture.make_client(["127.0.0.1:1", "127.0.0.1:2"])
     fixture.run(fixture.store.transact([], [store.Put("/a", b"1")]))
-    assert fixture.run(fixture.store.get("/a")).pair is not None
     assert fixture.state.calls == {"kv/txn": 1, "kv/range": 1}
     fixture.agent.refused.add("127.0.0.1:2")
     with pytest.raises(store.StoreUnavailable):
@@ -111,6 +112,7 @@
     fixture.advance(8.0)
     assert list_events(batches) == [("/t/a", 2), ("/t/b", 4), ("/t/c", 5)]
     assert watch.openings >= 2
+    assert all(b.revision == b.events[-1].mod_revision for b in batches if b.events)
     watch.stop()
     put(fixture, "/t/d")
     fixture.advance(8.0)
@@ -118,6 +120,30 @@
     assert not fixture.state.watchers
 
 
+def test_idle_watch_stays_open() -> None:
+    """Guards against a working watch that is closed as if it were silent."""
+    fixture = fakes.StoreFixture()
+    batches: list[store.WatchBatch] = []
+    watch = fixture.store.watch("/t/", 1, batches.append)
+    fixture.advance(20.0)
+    assert watch.openings == 1
+    assert [batch.revision for batch in batches] == [1] * 10
+    watch.stop()
+
+
+def test_watch_does_not_go_back() -> None:
+    """Guards against changes delivered again after progress of a store behind."""
+    fixture = fakes.StoreFixture()
+    batches: list[store.WatchBatch] = []
+    watch = fixture.store.watch("/t/", 4, batches.append)
+    fixture.advance(3.0)
+    fixture.set_faults(silence_watches=True)
+    put(fixture, "/t/a", "/t/b", "/t/c")
+    fixture.advance(8.0)
+    assert list_events(batches) == [("/t/c", 4)]
+    watch.stop()
+
+
 def test_compacted_watch_continues_from_a_snapshot() -> None:
     """Guards against a watch that can never open again after a compaction."""
     fixture = fakes.StoreFixture()
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,206 @@
+"""Whole sessions of the operators' command line."""
+
+import pathlib
+import subprocess
+import sys
+
+import pytest
+import syrupy.assertion
+
+from pistachioshed.operations import status
+from pistachioshed.ports import store as store_port
+from tests import fakes, sessions
+
+ADD_BOOTHS = (
+    "create booking",
+    "add booking booking-1 --address 127.0.0.1:20001 --zone riga-a",
+    "add booking booking-2 --address 127.0.0.1:20002 --zone riga-b --weight 0.5",
+    "add booking booking-3 --address 127.0.0.1:20003 --zone riga-c --slots 4",
+)
+
+
+@pytest.fixture
+def session(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> sessions.Session:
+    """Return a session in an empty directory."""
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.delenv("PISTACHIOSHED_SETTINGS", raising=False)
+    return sessions.Session(fakes.StoreFixture())
+
+
+def type_all(session: sessions.Session, *lines: str) -> str:
+    """Run command lines and return the transcript."""
+    for line in lines:
+        session.type(line)
+    return "\n".join(session.transcript)
+
+
+def test_help_texts(
+    session: sessions.Session, snapshot: syrupy.assertion.SnapshotAssertion
+) -> None:
+    """Guards against a command that can not be used from its help."""
+    names = "show export apply set add remove drain undrain create versions audit"
+    helps = (f"{name} --help" for name in names.split())
+    assert type_all(session, "--help", *helps) == snapshot
+
+
+def test_rows_are_edited_and_audited(
+    session: sessions.Session, snapshot: syrupy.assertion.SnapshotAssertion
+) -> None:
+    """Guards against a change of what operators see of a usual session."""
+    assert (
+        type_all(
+            session,
+            *ADD_BOOTHS,
+            "show booking",
+            "set booking booking-1 --weight 2 --connections 500",
+            "drain booking booking-3",
+            "undrain booking booking-3",
+            "undrain booking booking-3",
+            "remove booking booking-2",
+            "--json show booking",
+            "--json set booking booking-1 --weight 1",
+            "audit booking",
+            "--json audit booking --limit 1",
+        )
+        == snapshot
+    )
+
+
+def test_mistakes_are_refused(
+    session: sessions.Session, snapshot: syrupy.assertion.SnapshotAssertion
+) -> None:
+    """Guards against an exit code or message that hides what went wrong."""
+    type_all(session, *ADD_BOOTHS, "create sheets")
+    session.transcript.clear()
+    assert (
+        type_all(
+            session,
+            "show nothing",
+            "show Booking",
+            "create booking",
+            "set booking booking-9 --weight 1",
+            "set booking booking-1",
+            "set booking booking-1 --weight heavy",
+            "set booking booking-1 --weight -1 --slots 0",
+            "set booking booking-1 --address 127.0.0.1:9",
+            "add booking booking-1 --address 127.0.0.1:9 --zone riga-a",
+            "add sheets sheets-1 --address 127.0.0.1:20001 --zone riga-a",
+            "drain booking booking-1",
+            "drain booking booking-2",
+            "drain booking booking-3",
+            "--json drain booking booking-3",
+            "drain booking booking-3 --force",
+            "audit sheets",
+            "apply booking missing.csv",
+        )
+        == snapshot
+    )
+
+
+def test_two_operators_edit_sheets(
+    session: sessions.Session, snapshot: syrupy.assertion.SnapshotAssertion
+) -> None:
+    """Guards against an old sheet that reverts a colleague's rows."""
+    other = sessions.Session(session.fixture, "jana")
+    other.transcript = session.transcript
+    type_all(session, *ADD_BOOTHS, "export booking a.csv", "export booking")
+    sheet = pathlib.Path("a.csv").read_text()
+    other.type("set booking booking-3 --weight 0.25")
+    edited = sheet.replace("riga-b,0.5", "riga-b,0.75")
+    pathlib.Path("a.csv").write_text(edited)
+    pathlib.Path("b.csv").write_text(edited.replace("riga-c,1,", "riga-c,3,"))
+    faulty = edited.replace(",2000", ",many").replace("riga-a,1", "riga-a,-1")
+    pathlib.Path("c.csv").write_text(faulty)
+    new = sheet.replace("booking", "booths").replace("20", "21")
+    pathlib.Path("d.csv").write_text(new.replace("version,4", "version,0"))
+    assert (
+        type_all(
+            session,
+            "apply booking a.csv",
+            "show booking",
+            "apply booking b.csv",
+            "apply booking c.csv",
+            "apply sheets a.csv",
+            "apply booking a.csv",
+            "create booths d.csv",
+            "show booths",
+            "audit booking --limit 2",
+        )
+        == snapshot
+    )
+
+
+def test_failing_store(
+    session: sessions.Session, snapshot: syrupy.assertion.SnapshotAssertion
+) -> None:
+    """Guards against an unclear outcome while the store is down or loses answers."""
+    faults = session.fixture.set_faults
+    type_all(session, *ADD_BOOTHS)
+    session.transcript.clear()
+    faults(down=True)
+    type_all(session, "show booking", "drain booking booking-1")
+    faults(delay_seconds=30.0)
+    type_all(session, "--json show booking")
+    faults(lose_answers=1)
+    type_all(session, "drain booking booking-1")
+    faults(drop_writes=9)
+    type_all(session, "drain booking booking-2")
+    faults()
+    session.type("drain booking booking-2 --edit-id ilze-7")
+    session.type("drain booking booking-2 --edit-id ilze-7")
+    assert type_all(session, "audit booking --limit 2") == snapshot
+
+
+def test_versions_in_force(
+    session: sessions.Session, snapshot: syrupy.assertion.SnapshotAssertion
+) -> None:
+    """Guards against "in force" before all nodes of all zones have the version."""
+    fixture = session.fixture
+
+    async def write(zone: str, **nodes: int) -> None:
+        versions = {node: {"booking": version} for node, version in nodes.items()}
+        value = status.encode_status(status.ZoneStatus(zone=zone, nodes=versions))
+        await fixture.store.transact(
+            [], [store_port.Put(status.make_status_key(zone), value)]
+        )
+
+    type_all(session, *ADD_BOOTHS, "versions booking")
+    fixture.run(write("riga-a", lb1=4, lb2=4))
+    fixture.run(write("riga-b", lb3=3))
+    type_all(session, "versions booking", "versions booking --wait --timeout 2")
+    fixture.clock.callLater(3.0, lambda: fixture.start(write("riga-b", lb3=4)))
+    session.type("versions booking --wait")
+    assert type_all(session, "--json versions booking") == snapshot
+
+
+def test_command_of_a_real_process(tmp_path: pathlib.Path) -> None:
+    """Guards against a command that works only with the in-memory store."""
+    command = [sys.executable, "-m", "standins.store", "--address", "127.0.0.1:0"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        try:
+            assert process.stdout is not None
+            address = process.stdout.readline().split()[-1]
+            settings = tmp_path / "operator.ini"
+            settings.write_text(f"[store]\naddresses = 127.0.0.1:1, {address}\n")
+            results = [
+                subprocess.run(
+                    [
+                        *(sys.executable, "-m", "pistachioshed.apps.operator"),
+                        *("--settings", str(path), *line.split()),
+                    ],
+                    capture_output=True,
+                    text=True,
+                    timeout=30,
+                )
+                for path, line in (
+                    (settings, "create booking"),
+                    (settings, "show booking"),
+                    (tmp_path / "missing.ini", "show booking"),
+                )
+            ]
+        finally:
+            process.terminate()
+    assert [result.returncode for result in results] == [0, 0, 2], results
+    assert results[1].stdout.startswith("booking: version 1, 0 rows, 0 active\n")
--- /dev/null
+++ b/tests/test_sheets.py
@@ -0,0 +1,66 @@
+"""CSV sheets."""
+
+import pytest
+
+from pistachioshed.operations import sheets
+from tests import builders
+
+HEAD = (
+    "service,booking,version,7\nupstream,address,zone,weight,connections,slots,state\n"
+)
+
+
+def test_exported_sheet_is_read_back() -> None:
+    """Guards against an export that changes rows, also after a spreadsheet saved it."""
+    table = builders.build_table("booking", 2, version=7)
+    row = table.rows[0]._replace(weight=0.123456789, zone='hall "a", left')
+    table = table._replace(rows=(row, table.rows[1]))
+    text = sheets.format_sheet(table)
+    sheet = sheets.parse_sheet("b.csv", text)
+    assert sheet == sheets.Sheet("booking", 7, table.rows)
+    assert sheets.make_edit(table, sheet, "a").upserts == ()
+    plain = HEAD + "a,127.0.0.1:1,z,1,2000,2,active\n"
+    lines = [line + ",," for line in plain.splitlines()]
+    saved = "\ufeff" + "\r\n".join(lines).replace(",", ";")
+    assert sheets.parse_sheet("b.csv", saved) == sheets.parse_sheet("b.csv", plain)
+
+
+def test_every_fault_of_a_sheet_is_reported_at_once() -> None:
+    """Guards against a sheet that is corrected one fault at a time."""
+    text = HEAD + (
+        "a,127.0.0.1:1,z,1,2000,2,active\n"
+        "a,127.0.0.1:0,,heavy,2.5,0,gone\n"
+        "\n"
+        "b,127.0.0.1:1,z,-1,2000,2,active,extra\n"
+        "c,127.0.0.1:1,z,nan,2000\n"
+    )
+    with pytest.raises(ExceptionGroup) as caught:
+        sheets.parse_sheet("b.csv", text)
+    places = set()
+    for error in caught.value.exceptions:
+        assert isinstance(error, sheets.SheetError)
+        assert error.allowed
+        places.add((error.line, error.column))
+    columns = ("upstream", "address", "zone", "weight", "connections", "slots", "state")
+    expected = {(4, column) for column in columns} | {(6, "*")}
+    expected |= {(7, column) for column in ("address", "weight", "slots", "state")}
+    assert places == expected
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "column"),
+    [
+        ("", 1, "*"),
+        (HEAD.replace("version,7", ""), 1, "*"),
+        (HEAD.replace(",7", ",seven"), 1, "version"),
+        (HEAD.replace("slots", "slot"), 2, "*"),
+        (HEAD + 'a,"127.0.0.1:1', 3, "*"),
+    ],
+)
+def test_broken_frame_of_a_sheet_is_refused(text: str, line: int, column: str) -> None:
+    """Guards against a sheet without its version, taken as the newest."""
+    with pytest.raises(ExceptionGroup) as caught:
+        sheets.parse_sheet("b.csv", text)
+    error = caught.value.exceptions[0]
+    assert isinstance(error, sheets.SheetError)
+    assert (error.line, error.column) == (line, column)
