Report refused values, silent watches and all disputed rows

Cause: a conflict named only the newest winning edit, a missing sheet was reported as a refusal, and a re-opened watch did not say that it was silent.

--- a/src/pistachioshed/adapters/watching.py
+++ b/src/pistachioshed/adapters/watching.py
@@ -4,11 +4,10 @@
 
 import msgspec
 import treq.client
-from absl import logging
 from twisted.internet import defer
 from twisted.python import failure
 
-from pistachioshed.adapters import gateway
+from pistachioshed.adapters import gateway, jsonlog
 from pistachioshed.ports import store
 
 # The store reports progress at least every 2 s; a silent connection is closed.
@@ -81,13 +80,11 @@
             except Exception as cause:
                 if self.stopped:
                     return
-                logging.warning(
-                    {
-                        "event": "watch re-opened",
-                        "step": f"watch {self.prefix} from {self.revision}",
-                        "peer": address,
-                        "cause": str(cause) or type(cause).__name__,
-                    }
+                jsonlog.log_failure(
+                    "watch re-opened",
+                    step=f"watch {self.prefix} from {self.revision}",
+                    peer=address,
+                    cause=str(cause) or type(cause).__name__,
                 )
             self.failures += 1
             self.caller.demote(address)
@@ -107,6 +104,11 @@
         self.deadline = self.caller.clock.callLater(LIVENESS_SECONDS, stream.cancel)
         try:
             await stream
+        except Exception as cause:
+            if self.stopped or self.deadline.active():
+                raise
+            problem = f"no progress within {LIVENESS_SECONDS} s"
+            raise gateway.NoAnswer(problem) from cause
         finally:
             if self.deadline.active():
                 self.deadline.cancel()
@@ -134,6 +136,7 @@
         finally:
             if problems:
                 raise problems[0]
+        raise gateway.NoAnswer(f"the stream ended, status {response.code}")
 
     def _take_bytes(self, data: bytes) -> None:
         *lines, self.buffer = (self.buffer + data).split(b"\n")
--- a/src/pistachioshed/apps/arguments.py
+++ b/src/pistachioshed/apps/arguments.py
@@ -45,3 +45,6 @@
     tables.RowState | None,
     typer.Option(help="active, or drain: no new flows, established ones stay."),
 ]
+Json = typing.Annotated[
+    bool, typer.Option("--json", help="Print JSON, one document on one line.")
+]
--- a/src/pistachioshed/apps/console.py
+++ b/src/pistachioshed/apps/console.py
@@ -61,7 +61,6 @@
     """Options of all commands."""
 
     settings: pathlib.Path
-    as_json: bool
     run: Run
 
 
@@ -83,6 +82,14 @@
     return addresses
 
 
+def parse_operator(text: str) -> str:
+    """Parse the operator's name; an empty one means the system's user."""
+    try:
+        return ini.parse_name(text or getpass.getuser())
+    except (KeyError, OSError) as cause:
+        raise ValueError("the system's user has no name") from cause
+
+
 OPTIONS: typing.Final = (
     ini.Option(
         "store",
@@ -103,9 +110,9 @@
         "operator",
         "name",
         "operator",
-        ini.parse_name,
+        parse_operator,
         "the name for the audit trail, without spaces",
-        getpass.getuser(),
+        "",
     ),
 )
 
@@ -183,7 +190,7 @@
     return [str(error)]
 
 
-def run_body(context: typer.Context, body: Body) -> typing.NoReturn:
+def run_body(context: typer.Context, body: Body, as_json: bool) -> typing.NoReturn:
     """Run a command's body, print its faults and exit with its code.
 
     Raises
@@ -199,7 +206,7 @@
         if chosen is None:
             raise
         messages = list_messages(error)
-        if options.as_json:
+        if as_json:
             fault = {"exit_code": int(chosen), "errors": messages}
             typer.echo(msgspec.json.encode(fault).decode(), err=True)
         else:
--- a/src/pistachioshed/apps/editing.py
+++ b/src/pistachioshed/apps/editing.py
@@ -16,6 +16,7 @@
     service: str,
     edit_id: str,
     force: bool,
+    as_json: bool,
     make_build: abc.Callable[[str], edits.BuildEdit],
 ) -> None:
     """Run an edit of the current table and exit."""
@@ -31,10 +32,10 @@
             force,
             repeated=bool(edit_id),
         )
-        rendering.show_result(result, context.obj.as_json)
+        rendering.show_result(result, as_json)
         return console.ExitCode.DONE
 
-    console.run_body(context, body)
+    console.run_body(context, body, as_json)
 
 
 def read_sheet(file: pathlib.Path) -> sheets.Sheet:
@@ -42,7 +43,7 @@
     try:
         text = file.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as cause:
-        fault = sheets.SheetError(str(file), 0, "*", f"can not be read: {cause}")
+        fault = sheets.SheetError(str(file), 1, "*", f"can not be read: {cause}")
         raise ExceptionGroup(f"{file}: no sheet", [fault]) from cause
     return sheets.parse_sheet(str(file), text)
 
@@ -51,10 +52,14 @@
     context: typer.Context,
     service: arguments.Service,
     file: typing.Annotated[
-        pathlib.Path, typer.Argument(help="CSV file, as `export` writes it.")
+        pathlib.Path,
+        typer.Argument(
+            help="CSV file, as `export` writes it.", exists=True, dir_okay=False
+        ),
     ],
     edit_id: arguments.EditId = "",
     force: arguments.Force = False,
+    as_json: arguments.Json = False,
 ) -> None:
     """Apply the rows that you changed in an exported CSV file.
 
@@ -72,10 +77,10 @@
             environment.make_author(),
             force,
         )
-        rendering.show_result(result, context.obj.as_json)
+        rendering.show_result(result, as_json)
         return console.ExitCode.DONE
 
-    console.run_body(context, body)
+    console.run_body(context, body, as_json)
 
 
 def set_row(
@@ -90,6 +95,7 @@
     state: arguments.State = None,
     edit_id: arguments.EditId = "",
     force: arguments.Force = False,
+    as_json: arguments.Json = False,
 ) -> None:
     """Change columns of one row; columns that are not named stay."""
     columns = changes.Columns(address, zone, weight, connections, slots, state)
@@ -100,6 +106,7 @@
         service,
         edit_id,
         force,
+        as_json,
         lambda chosen_id: changes.set_columns(upstream, columns, chosen_id),
     )
 
@@ -115,6 +122,7 @@
     slots: arguments.Slots = None,
     state: arguments.State = None,
     edit_id: arguments.EditId = "",
+    as_json: arguments.Json = False,
 ) -> None:
     """Add an upstream; columns that are not named get the usual values.
 
@@ -127,6 +135,7 @@
         service,
         edit_id,
         True,
+        as_json,
         lambda chosen_id: changes.add_row(row, chosen_id),
     )
 
@@ -137,6 +146,7 @@
     upstream: arguments.Upstream,
     edit_id: arguments.EditId = "",
     force: arguments.Force = False,
+    as_json: arguments.Json = False,
 ) -> None:
     """Remove an upstream.
 
@@ -147,6 +157,7 @@
         service,
         edit_id,
         force,
+        as_json,
         lambda chosen_id: changes.remove_row(upstream, chosen_id),
     )
 
@@ -157,6 +168,7 @@
     upstream: arguments.Upstream,
     edit_id: arguments.EditId = "",
     force: arguments.Force = False,
+    as_json: arguments.Json = False,
 ) -> None:
     """Give an upstream no new flows; its established flows stay."""
     columns = changes.Columns(state="drain")
@@ -165,6 +177,7 @@
         service,
         edit_id,
         force,
+        as_json,
         lambda chosen_id: changes.set_columns(upstream, columns, chosen_id),
     )
 
@@ -174,6 +187,7 @@
     service: arguments.Service,
     upstream: arguments.Upstream,
     edit_id: arguments.EditId = "",
+    as_json: arguments.Json = False,
 ) -> None:
     """Give an upstream new flows again."""
     columns = changes.Columns(state="active")
@@ -182,6 +196,7 @@
         service,
         edit_id,
         True,
+        as_json,
         lambda chosen_id: changes.set_columns(upstream, columns, chosen_id),
     )
 
@@ -193,10 +208,13 @@
         pathlib.Path | None,
         typer.Argument(
             help="CSV file with the first rows, as `export` writes it for another "
-            "service, with this service's name and version 0 on the first line."
+            "service, with this service's name and version 0 on the first line.",
+            exists=True,
+            dir_okay=False,
         ),
     ] = None,
     edit_id: arguments.EditId = "",
+    as_json: arguments.Json = False,
 ) -> None:
     """Create a service, without rows or with those of a CSV file."""
 
@@ -210,7 +228,7 @@
         result = await edits.create_table(
             environment.store, service, edit, environment.make_author()
         )
-        rendering.show_result(result, context.obj.as_json)
+        rendering.show_result(result, as_json)
         return console.ExitCode.DONE
 
-    console.run_body(context, body)
+    console.run_body(context, body, as_json)
--- a/src/pistachioshed/apps/operator.py
+++ b/src/pistachioshed/apps/operator.py
@@ -6,6 +6,7 @@
 import typer
 from twisted.internet import task
 
+from pistachioshed.adapters import jsonlog
 from pistachioshed.apps import arguments, console, editing, rendering
 from pistachioshed.operations import audit as audit_trail
 from pistachioshed.operations import edits, sheets, status
@@ -43,29 +44,26 @@
             "name for the audit trail, [operator] name.",
         ),
     ] = pathlib.Path("pistachioshed.ini"),
-    as_json: typing.Annotated[
-        bool,
-        typer.Option(
-            "--json",
-            help="Print JSON, one document on one line; stands before the command.",
-        ),
-    ] = False,
 ) -> None:
     """Take the options that stand before the command."""
     run = context.obj or console.run_in_reactor
-    context.obj = console.Options(settings, as_json, run)
+    context.obj = console.Options(settings, run)
 
 
 @app.command()
-def show(context: typer.Context, service: arguments.Service) -> None:
+def show(
+    context: typer.Context,
+    service: arguments.Service,
+    as_json: arguments.Json = False,
+) -> None:
     """Show the newest table of a service."""
 
     async def body(environment: console.Environment) -> console.ExitCode:
         table = await edits.read_table(environment.store, service)
-        rendering.show_table(table, context.obj.as_json)
+        rendering.show_table(table, as_json)
         return console.ExitCode.DONE
 
-    console.run_body(context, body)
+    console.run_body(context, body, as_json)
 
 
 @app.command()
@@ -76,6 +74,7 @@
         pathlib.Path | None,
         typer.Argument(help="CSV file to write; standard output if omitted."),
     ] = None,
+    as_json: arguments.Json = False,
 ) -> None:
     """Write a service's table as CSV, to be edited and then applied.
 
@@ -93,7 +92,7 @@
             typer.echo(f"{service}: version {table.version} written to {file}")
         return console.ExitCode.DONE
 
-    console.run_body(context, body)
+    console.run_body(context, body, as_json)
 
 
 @app.command()
@@ -109,6 +108,7 @@
     timeout: typing.Annotated[
         float, typer.Option(help="Seconds to wait at most.", min=0.0)
     ] = 30.0,
+    as_json: arguments.Json = False,
 ) -> None:
     """Show which node has which version of a service in force.
 
@@ -126,12 +126,12 @@
             if in_force or not wait or clock.seconds() >= end:
                 break
             await task.deferLater(clock, POLL_SECONDS)
-        rendering.show_versions(service, newest, nodes, context.obj.as_json)
+        rendering.show_versions(service, newest, nodes, as_json)
         if wait and not in_force:
             raise console.NotInForce(service, newest, timeout)
         return console.ExitCode.DONE
 
-    console.run_body(context, body)
+    console.run_body(context, body, as_json)
 
 
 @app.command()
@@ -142,6 +142,7 @@
         int,
         typer.Option(help="The most edits to show.", min=1, max=500),
     ] = 20,
+    as_json: arguments.Json = False,
 ) -> None:
     """Show who changed what: the last edits, newest first, and the refused ones."""
 
@@ -150,10 +151,10 @@
         await edits.read_table(store, service)
         records = await audit_trail.read_records(store, service, limit)
         refusals = await audit_trail.read_refusals(store, service)
-        rendering.show_audit(records, refusals[:limit], context.obj.as_json)
+        rendering.show_audit(records, refusals[:limit], as_json)
         return console.ExitCode.DONE
 
-    console.run_body(context, body)
+    console.run_body(context, body, as_json)
 
 
 app.command()(editing.apply)
@@ -167,6 +168,7 @@
 
 def main() -> None:
     """Run the command line."""
+    jsonlog.start_logging({"program": "pistachioshed"})
     app(prog_name="pistachioshed")
 
 
--- a/src/pistachioshed/apps/rendering.py
+++ b/src/pistachioshed/apps/rendering.py
@@ -112,6 +112,10 @@
     return {**record._asdict(), "before": before, "after": after}
 
 
+def _format_cell(value: object) -> str:
+    return f"{value:g}" if isinstance(value, float) else str(value)
+
+
 def list_differences(record: audit.Record) -> abc.Iterator[str]:
     """Yield one line per row that an edit changed."""
     before = {row.upstream: row for row in record.before}
@@ -123,7 +127,7 @@
             yield f"{name}: removed from {before[name].address}"
         else:
             changes = (
-                f"{column} {old} -> {new}"
+                f"{column} {_format_cell(old)} -> {_format_cell(new)}"
                 for column, old, new in zip(
                     tables.Row._fields, before[name], after[name]
                 )
--- a/src/pistachioshed/operations/rules.py
+++ b/src/pistachioshed/operations/rules.py
@@ -88,11 +88,11 @@
         The latter two, if there was no edit since then.
     """
     touched = tables.list_edited_rows(edit)
-    for record in newer:
-        disputed = touched & audit.list_changed_rows(record)
-        if disputed:
-            winner = describe_edit(record)
-            raise EditConflict(table.service, disputed, winner, "it changed rows")
+    winners = [r for r in newer if touched & audit.list_changed_rows(r)]
+    if winners:
+        changed = frozenset().union(*map(audit.list_changed_rows, winners))
+        winner = ", ".join(describe_edit(record) for record in winners)
+        raise EditConflict(table.service, touched & changed, winner, "rows changed")
     try:
         edited = tables.apply_edit(table, edit)
     except ExceptionGroup as cause:
--- a/src/pistachioshed/ports/store.py
+++ b/src/pistachioshed/ports/store.py
@@ -98,6 +98,7 @@
     snapshot: bool = False
 
 
+# Takes a batch; it must not raise, since a batch is delivered once.
 Deliver = abc.Callable[[WatchBatch], None]
 
 
--- a/standins/keyspace.py
+++ b/standins/keyspace.py
@@ -8,6 +8,14 @@
 Message = dict[str, typing.Any]
 
 
+# The platform's limit of one value.
+MAX_VALUE_BYTES: typing.Final = 1_000_000
+
+
+class ValueTooLarge(Exception):
+    """A value above the platform's limit."""
+
+
 class Lease(typing.NamedTuple):
     """A lease and the time at which it ends."""
 
@@ -63,6 +71,10 @@
 
     def run_transaction(self, message: Message) -> tuple[Message, list[Message]]:
         """Answer a transaction; also return the events it caused."""
+        for request in (*message.get("success", ()), *message.get("failure", ())):
+            put = request.get("request_put", {})
+            if len(decode_bytes(put, "value")) > MAX_VALUE_BYTES:
+                raise ValueTooLarge
         held = all(self._check(compare) for compare in message.get("compare", ()))
         events: list[Message] = []
         responses: list[Message] = []
--- a/standins/store.py
+++ b/standins/store.py
@@ -178,7 +178,11 @@
             if writes and take_fault(state, "late_writes"):
                 state.clock.callLater(state.faults.late_seconds, answer, message)
                 await cut(request)
-            result = answer(message)
+            try:
+                result = answer(message)
+            except keyspace.ValueTooLarge:
+                request.setResponseCode(400)
+                result = {"code": 3, "message": "request is too large"}
             if writes and take_fault(state, "lose_answers"):
                 await cut(request)
             request.setHeader("Content-Type", "application/json")
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from pistachioshed.adapters import gateway
 from pistachioshed.ports import store
 from tests import fakes
 
@@ -57,6 +58,38 @@
         )
 
 
+@pytest.mark.parametrize(
+    ("status", "body", "error"),
+    [
+        (200, b"{}", None),
+        (400, b'{"code": 3, "message": "bad"}', gateway.Rejected),
+        (404, b'{"error": {"grpc_code": 5, "message": "no lease"}}', gateway.Rejected),
+        (503, b'{"code": 14, "message": "no leader"}', gateway.NoAnswer),
+        (200, b'{"error": {"code": 4, "message": "timed out"}}', gateway.NoAnswer),
+        (200, b'{"header": {', gateway.NoAnswer),
+        (502, b"<html>", gateway.NoAnswer),
+    ],
+)
+def test_effect_of_an_error_answer(
+    status: int, body: bytes, error: type[Exception] | None
+) -> None:
+    """Guards against "refused" for a write that may have taken effect."""
+    if error is None:
+        assert gateway.read_answer(status, body) == {}
+        return
+    with pytest.raises(error):
+        gateway.read_answer(status, body)
+
+
+def test_value_above_the_limit_is_refused() -> None:
+    """Guards against an outcome called unknown although nothing was written."""
+    fixture = fakes.StoreFixture()
+    puts = [store.Put("/a", b"1"), store.Put("/b", b"1" * 1_000_001)]
+    with pytest.raises(store.StoreRefused, match="too large"):
+        fixture.run(fixture.store.transact([], puts))
+    assert fixture.run(fixture.store.get("/a")).pair is None
+
+
 def test_refused_address_fails_over_without_a_second_write() -> None:
     """Guards against one dead store address that stops reads and writes."""
     fixture = fakes.StoreFixture(["127.0.0.1:1", "127.0.0.1:2"])
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -3,6 +3,7 @@
 import pathlib
 import subprocess
 import sys
+import typing
 
 import pytest
 import syrupy.assertion
@@ -59,10 +60,10 @@
             "undrain booking booking-3",
             "undrain booking booking-3",
             "remove booking booking-2",
-            "--json show booking",
-            "--json set booking booking-1 --weight 1",
+            "show booking --json",
+            "set booking booking-1 --weight 1 --json",
             "audit booking",
-            "--json audit booking --limit 1",
+            "audit booking --limit 1 --json",
         )
         == snapshot
     )
@@ -90,7 +91,7 @@
             "drain booking booking-1",
             "drain booking booking-2",
             "drain booking booking-3",
-            "--json drain booking booking-3",
+            "drain booking booking-3 --json",
             "drain booking booking-3 --force",
             "audit sheets",
             "apply booking missing.csv",
@@ -142,7 +143,7 @@
     faults(down=True)
     type_all(session, "show booking", "drain booking booking-1")
     faults(delay_seconds=30.0)
-    type_all(session, "--json show booking")
+    type_all(session, "show booking --json")
     faults(lose_answers=1)
     type_all(session, "drain booking booking-1")
     faults(drop_writes=9)
@@ -172,7 +173,26 @@
     type_all(session, "versions booking", "versions booking --wait --timeout 2")
     fixture.clock.callLater(3.0, lambda: fixture.start(write("riga-b", lb3=4)))
     session.type("versions booking --wait")
-    assert type_all(session, "--json versions booking") == snapshot
+    assert type_all(session, "versions booking --json") == snapshot
+
+
+def test_faults_are_set_and_calls_counted_over_http(session: sessions.Session) -> None:
+    """Guards against a stand-in process whose faults can not be set by trials."""
+    http, url = session.fixture.store.http, "http://127.0.0.1:1/admin"
+    session.type("create booking")
+
+    async def read() -> typing.Any:
+        return await (await http.get(url)).json()
+
+    async def write(faults: dict[str, object]) -> int:
+        return int((await http.post(url, json=faults)).code)
+
+    shown = session.fixture.run(read())
+    assert shown["calls"] == {"kv/range": 1, "kv/txn": 1}
+    assert session.fixture.run(write({"down": True})) == 200
+    session.type("show booking")
+    assert session.code == 4
+    assert session.fixture.run(write({"no such fault": 1})) == 500
 
 
 def test_command_of_a_real_process(tmp_path: pathlib.Path) -> None:
