--- a/standins/store.py
+++ b/standins/store.py
@@ -47,6 +47,7 @@
     request: http.Request
     key: bytes
     end: bytes
+    start: int
 
 
 class Store:
@@ -75,6 +76,7 @@
                 for event in events
                 if watcher.key <= keyspace.decode_bytes(event["kv"], "key")
                 and keyspace.decode_bytes(event["kv"], "key") < watcher.end
+                and int(event["kv"]["mod_revision"]) >= watcher.start
             ]
             if chosen:
                 self.send(watcher.request, {"events": chosen})
@@ -121,7 +123,7 @@
             return
         key = keyspace.decode_bytes(wanted, "key")
         end = keyspace.decode_bytes(wanted, "range_end") or key + b"\0"
-        watcher = Watcher(request, key, end)
+        watcher = Watcher(request, key, end, start)
         others, self.watchers = self.watchers, [watcher]
         for events in self.keys.read_history(start):
             self.publish(events)
@@ -176,7 +178,11 @@
             if writes and take_fault(state, "late_writes"):
                 state.clock.callLater(state.faults.late_seconds, answer, message)
                 await cut(request)
-            result = answer(message)
+            try:
+                result = answer(message)
+            except keyspace.ValueTooLarge:
+                request.setResponseCode(400)
+                result = {"code": 3, "message": "request is too large"}
             if writes and take_fault(state, "lose_answers"):
                 await cut(request)
             request.setHeader("Content-Type", "application/json")
