--- a/src/pistachioshed/adapters/probes.py
+++ b/src/pistachioshed/adapters/probes.py
@@ -49,11 +49,15 @@
         self.port_offset = port_offset
         self.clock = clock
 
-    async def probe(self, address: str) -> probes.Outcome:
-        """Probe the upstream of a row's address; a failure is an outcome."""
+    async def probe(self, address: str) -> probes.Outcome | None:
+        """Probe the upstream of a row's address; a failure is an outcome.
+
+        IPv6 addresses are not probed: treq passes the host of a URL to `idna`, which
+        refuses the colons.
+        """
         host, port = tables.parse_address(address)
         if ":" in host:
-            host = f"[{host}]"
+            return None
         base = f"http://{host}:{port + self.port_offset}"
         started_at = self.clock.seconds()
         try:
--- a/src/pistachioshed/apps/controldriver.py
+++ b/src/pistachioshed/apps/controldriver.py
@@ -209,6 +209,9 @@
 
     async def _run_probe(self, action: controls.ProbeUpstream) -> None:
         outcome = await self.ports.prober.probe(action.address)
+        if outcome is None:
+            self.metrics.count("probes", result="not possible")
+            return
         self.metrics.count("probes", result="ok" if outcome.ok else "failed")
         result = events.ProbeReported(action.service, action.upstream, *outcome)
         self.dispatch(controls.ProbeFinished(result))
--- a/src/pistachioshed/core/distribution.py
+++ b/src/pistachioshed/core/distribution.py
@@ -101,7 +101,7 @@
 
     def _take_stored(self, event: controls.StoreTable, now: float) -> Actions:
         accepted = self.catalogue.accept_stored(event.table, event.revision)
-        return self._apply_accepted(accepted, event.table, True, now)
+        return self._apply_accepted(accepted, event.table, STORE, now)
 
     def _take_published(self, event: controls.TableReceived, now: float) -> Actions:
         return self._take_gossiped(event.table, event.peer, event.zone, now)
@@ -110,26 +110,32 @@
         self, table: tables.Table, peer: str, zone: str, now: float
     ) -> Actions:
         accepted = self.catalogue.accept_gossip(table, peer, now)
-        # Only the watchers get tables of other zones, so they pass them on.
-        publish = self.watching.active and zone != self.settings.zone
-        return self._apply_accepted(accepted, table, publish, now)
+        return self._apply_accepted(accepted, table, zone, now)
 
     def _apply_accepted(
         self,
         accepted: catalogue.Accepted,
         table: tables.Table,
-        publish: bool,
+        source: str,
         now: float,
     ) -> Actions:
+        """Deliver a table that is now held, and publish it if it is new to the zone.
+
+        Only the first ranked publishes: it saves the others a fetch, while the
+        digest alone would do.
+        """
         actions: Actions = list(accepted.notices)
         if not accepted.changed:
             return actions
         self.changed = True
         if not self.catchup.booted:
             return actions
-        size_bytes = self.catalogue.held[table.service].size_bytes
-        # Peers fetch a larger table one by one after they saw the digest.
-        if publish and size_bytes <= self.settings.max_published_bytes:
+        small = (
+            self.catalogue.held[table.service].size_bytes
+            <= self.settings.max_published_bytes
+        )
+        news = source != self.settings.zone
+        if news and small and self.first and self.roster.has_followers(now):
             actions.append(controls.PublishTable(table))
         actions.append(self._deliver_tables([table], now))
         return actions
@@ -181,7 +187,8 @@
 
     def _take_members(self, event: controls.MembersReceived, now: float) -> Actions:
         self.roster.set_members(event.members, now)
-        self.vms = tuple(member.vm for member in event.members)
+        # A seed has no balancer address, so it is of no use to the balancer.
+        self.vms = tuple(member.vm for member in event.members if member.vm.address)
         if self.catchup.boot_waiting is None:
             actions = self.catchup.start_boot(now)
             return actions + self._update_roster(now) + self._end_boot_wait("", now)
@@ -228,13 +235,15 @@
         return []
 
     def _pass_time(self, event: controls.Tick, now: float) -> Actions:
+        if self.catchup.boot_waiting is None:
+            # Without any list this control would take itself for a watcher.
+            return []
         actions = self._end_boot_wait("", now)
         if now >= self.roster_at:
             actions += self._update_roster(now)
         actions += self.catchup.step(now)
         actions += self.catalogue.list_conflict_reads(now)
-        held = [held.table for held in self.catalogue.held.values()]
-        actions += self.probing.list_probes(held, now)
+        actions += self.probing.list_probes(now)
         actions += self._refresh(now)
         status = self.list_status(now) if self.first else {}
         actions += self.reporter.step(self.first and bool(status), status, now)
@@ -268,6 +277,8 @@
             )
             actions.append(controls.Subscribe(peers))
         self.first = self.roster.is_first(now)
+        held = [held.table for held in self.catalogue.held.values()]
+        self.probing.set_targets(held, now)
         for action in self.watching.step(now):
             actions.append(action)
             if isinstance(action, controls.StartWatch):
--- a/src/pistachioshed/core/probing.py
+++ b/src/pistachioshed/core/probing.py
@@ -32,39 +32,43 @@
         self.settings = settings
         self.members = members
         self.rng = rng
+        self.targets: dict[Target, str] = {}
         self.due: dict[Target, float] = {}
         self.results: dict[Target, dict[str, Known]] = {}
         self.unpublished: set[tuple[Target, str]] = set()
         self.undelivered: set[Target] = set()
         self.refresh_at = 0.0
 
-    def list_probes(
-        self, held: abc.Iterable[tables.Table], now: float
-    ) -> list[controls.Action]:
-        """Return the probes that are due; rows without an own probe are dropped."""
-        actions: list[controls.Action] = []
-        wanted: set[Target] = set()
+    def set_targets(self, held: abc.Iterable[tables.Table], now: float) -> None:
+        """Choose the upstreams to probe; forget the results of removed rows."""
+        dead = self.members.list_dead(now)
+        count = self.settings.probers_per_upstream
         rows: set[Target] = set()
+        targets: dict[Target, str] = {}
         for table in held:
             for row in table.rows:
                 target = (table.service, row.upstream)
                 rows.add(target)
-                if not self._probes(target, now):
-                    continue
-                wanted.add(target)
-                first = now + self.rng.random() * self.settings.probe_interval_s
-                if self.due.setdefault(target, first) <= now:
-                    self.due[target] = now + self.settings.probe_interval_s
-                    actions.append(controls.ProbeUpstream(*target, row.address))
-        self.due = {target: due for target, due in self.due.items() if target in wanted}
+                probers = self.members.list_probers("/".join(target), count, dead)
+                if self.settings.name in probers:
+                    targets[target] = row.address
+        self.targets = targets
+        for target in self.due.keys() - targets.keys():
+            del self.due[target]
+        for target in targets.keys() - self.due.keys():
+            self.due[target] = now + self.rng.random() * self.settings.probe_interval_s
         for target in self.results.keys() - rows:
             del self.results[target]
-        return actions
 
-    def _probes(self, target: Target, now: float) -> bool:
-        count = self.settings.probers_per_upstream
-        key = "/".join(target)
-        return self.settings.name in self.members.list_probers(key, count, now)
+    def list_probes(self, now: float) -> list[controls.Action]:
+        """Return the probes that are due."""
+        actions: list[controls.Action] = []
+        for target, due in self.due.items():
+            if due <= now:
+                self.due[target] = now + self.settings.probe_interval_s
+                address = self.targets[target]
+                actions.append(controls.ProbeUpstream(*target, address))
+        return actions
 
     def record_own(self, report: events.ProbeReported, now: float) -> None:
         """Record the result of a probe that this control sent."""
--- a/src/pistachioshed/core/roster.py
+++ b/src/pistachioshed/core/roster.py
@@ -1,6 +1,10 @@
 """Who is live, by the VM list and by silence, and whom a control subscribes to."""
 
+import functools
+import itertools
+import math
 import typing
+from collections import abc
 
 from pistachioshed.core import controls, events, hashing
 
@@ -9,7 +13,9 @@
 # first ranked are hubs: each other control subscribes to two of them and is
 # subscribed to by the same two, so that the digests a node sends and receives stay
 # bounded (200 nodes in full mesh would receive 200 digests a second each).
-HUBS_PER_ZONE: typing.Final = 8
+# The square root of a zone's size balances the hubs' links to each other with those
+# to the other controls.
+MIN_HUBS_PER_ZONE: typing.Final = 8
 HUBS_PER_MEMBER: typing.Final = 2
 MAX_SILENT_KEPT: typing.Final = 16
 
@@ -73,12 +79,17 @@
     def rank_live(self, zone: str, now: float) -> list[str]:
         """Order the members of a zone that this control does not find silent."""
         ranked = self.rank_names(zone, zone)
-        return [name for name in ranked if not self.is_silent(name, now)]
+        silent = {name for name in self.subscribed if self.is_silent(name, now)}
+        return [name for name in ranked if name not in silent] if silent else ranked
 
     def is_first(self, now: float) -> bool:
         """Tell whether this control is the first ranked of its zone."""
         return self.rank_live(self.settings.zone, now)[:1] == [self.settings.name]
 
+    def has_followers(self, now: float) -> bool:
+        """Tell whether this control's zone has controls that are no watchers."""
+        return len(self.rank_live(self.settings.zone, now)) > WATCHERS_PER_ZONE
+
     def is_watcher(self, now: float) -> bool:
         """Tell whether this control should watch the store."""
         ranked = self.rank_live(self.settings.zone, now)
@@ -86,14 +97,22 @@
 
     def list_hubs(self, now: float) -> list[str]:
         """Return the hubs of this control's zone."""
-        return self.rank_live(self.settings.zone, now)[:HUBS_PER_ZONE]
+        ranked = self.rank_live(self.settings.zone, now)
+        return ranked[: count_hubs(len(ranked))]
+
+    def relays_for(self, name: str, now: float) -> bool:
+        """Tell whether this control relays the reports of a member that is no hub.
+
+        Of the hubs that hear the member only its first does, to save traffic.
+        """
+        hubs = tuple(self.list_hubs(now))
+        return name not in hubs and choose_hubs(name, hubs)[0] == self.settings.name
 
     def relays(self, now: float) -> bool:
         """Tell whether this control is a hub of a zone that has other controls."""
         ranked = self.rank_live(self.settings.zone, now)
-        return (
-            len(ranked) > HUBS_PER_ZONE and self.settings.name in ranked[:HUBS_PER_ZONE]
-        )
+        hubs = count_hubs(len(ranked))
+        return hubs < len(ranked) and self.settings.name in ranked[:hubs]
 
     def list_subscriptions(self, now: float) -> frozenset[str]:
         """Return the names of the peers to subscribe to.
@@ -102,14 +121,12 @@
         """
         own = self.settings.name
         ranked = self.rank_live(self.settings.zone, now)
-        hubs = ranked[:HUBS_PER_ZONE]
+        hubs = tuple(ranked[: count_hubs(len(ranked))])
         chosen = set(self.list_silent(now))
         if own in hubs:
             chosen.update(hubs)
             chosen.update(
-                name
-                for name in ranked[HUBS_PER_ZONE:]
-                if own in choose_hubs(name, hubs)
+                name for name in ranked[len(hubs) :] if own in choose_hubs(name, hubs)
             )
         else:
             chosen.update(choose_hubs(own, hubs))
@@ -127,29 +144,37 @@
         self.subscribed = {name: self.subscribed.get(name, now) for name in chosen}
         return True
 
-    def list_probers(self, key: str, count: int, now: float) -> list[str]:
-        """Return the controls of this zone that probe an upstream.
+    def list_dead(self, now: float) -> frozenset[str]:
+        """Return the names that are silent to this control or to a peer of it.
 
-        Besides the silence that this control observes, what its peers report as
-        silent counts, since few controls subscribe to a member that is no hub.
+        What peers report counts, since few controls subscribe to a member that is no
+        hub; it does not count against a peer that this control hears.
         """
-        reported: set[str] = set()
+        dead = {name for name in self.subscribed if self.is_silent(name, now)}
         for time, silent in self.hearsay.values():
             if now - time <= self.settings.silence_s:
-                reported |= silent
-        reported.discard(self.settings.name)
-        probers = []
-        for name in self.rank_names(self.settings.zone, key):
-            heard = now - self.heard.get(name, -1e9) <= self.settings.silence_s
-            dead = self.is_silent(name, now) or (name in reported and not heard)
-            if not dead:
-                probers.append(name)
-            if len(probers) == count:
-                break
-        return probers
-
-
-def choose_hubs(name: str, hubs: list[str]) -> list[str]:
+                dead.update(
+                    name
+                    for name in silent
+                    if now - self.heard.get(name, -1e9) > self.settings.silence_s
+                )
+        return frozenset(dead - {self.settings.name})
+
+    def list_probers(self, key: str, count: int, dead: abc.Set[str]) -> list[str]:
+        """Return the controls of this zone that probe an upstream."""
+        ranked = self.rank_names(self.settings.zone, key)
+        return list(
+            itertools.islice((name for name in ranked if name not in dead), count)
+        )
+
+
+def count_hubs(size: int) -> int:
+    """Return the number of hubs of a zone."""
+    return max(MIN_HUBS_PER_ZONE, math.isqrt(size))
+
+
+@functools.lru_cache(maxsize=4_096)
+def choose_hubs(name: str, hubs: tuple[str, ...]) -> list[str]:
     """Return the hubs that a member subscribes to and that subscribe to it."""
     choices = [hashing.Choice(hub, 1.0) for hub in hubs]
     return hashing.rank_choices(name.encode(), choices)[:HUBS_PER_MEMBER]
--- a/src/pistachioshed/core/spread.py
+++ b/src/pistachioshed/core/spread.py
@@ -6,10 +6,10 @@
 from pistachioshed.core import catalogue, controls, digests, roster
 
 REPORT_AGE_LIMIT_S: typing.Final = 30.0
-# A digest can be lost, so a changed report is relayed in several.
-RELAY_REPEATS: typing.Final = 3
+# A digest can be lost, so a changed report is relayed in two.
+RELAY_REPEATS: typing.Final = 2
 MAX_RELAYED: typing.Final = 16
-# Unchanged reports relayed in turn; 25 members of a hub take 13 s.
+# Unchanged reports relayed in turn; a hub of 14 members takes 7 s.
 ROTATED: typing.Final = 2
 
 Versions = dict[str, int]
@@ -37,7 +37,7 @@
         services = [entry.service for entry in digest.entries]
         own = [entry.in_force for entry in digest.entries]
         changed = self._record(digest.node, now, services, own)
-        if members.relays(now) and digest.node not in members.list_hubs(now):
+        if members.relays_for(digest.node, now):
             if digest.node not in self.attached:
                 self.attached.append(digest.node)
             if changed:
--- a/src/pistachioshed/ports/probes.py
+++ b/src/pistachioshed/ports/probes.py
@@ -18,5 +18,9 @@
     Its coroutine awaits Twisted deferreds.
     """
 
-    async def probe(self, address: str) -> Outcome:
-        """Probe the upstream of a row's address; a failure is an outcome."""
+    async def probe(self, address: str) -> Outcome | None:
+        """Probe the upstream of a row's address; a failure is an outcome.
+
+        The result is None for an address that can not be probed, which says nothing
+        about the upstream.
+        """
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,6 @@
 """Builders of test data."""
 
-from pistachioshed.core import tables
+from pistachioshed.core import controls, events, tables
 
 
 def build_row(service: str, number: int, zone: str = "riga-a") -> tables.Row:
@@ -13,3 +13,8 @@
     """Return a table of equal rows."""
     rows = tuple(build_row(service, number + 1) for number in range(hosts))
     return tables.Table(service, version, rows, f"edit-{version}")
+
+
+def build_member(name: str, zone: str) -> controls.Member:
+    """Return a listed VM with its control process."""
+    return controls.Member(events.Vm(name, zone, "127.0.0.1:7000"), "127.0.0.1:7100")
--- /dev/null
+++ b/tests/test_bus.py
@@ -0,0 +1,189 @@
+"""The pynng bus between control processes, on loopback."""
+
+import asyncio
+import collections
+import socket
+import typing
+from collections import abc
+
+import pynng
+import pytest
+
+from pistachioshed.adapters import bus, subscription
+from pistachioshed.core import controls, digests, tables
+from tests import builders
+
+KEY: typing.Final = bytes(range(16))
+SILENCE_S: typing.Final = 0.2
+
+
+def find_port() -> int:
+    """Return a port that is free, as is the next."""
+    for _ in range(50):
+        with socket.socket() as one, socket.socket() as two:
+            one.bind(("127.0.0.1", 0))
+            port = int(one.getsockname()[1])
+            try:
+                two.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+            return port
+    raise OSError("no two free ports")
+
+
+class Party:
+    """A bus with what it received."""
+
+    def __init__(self, name: str, key: bytes = KEY) -> None:
+        self.events: asyncio.Queue[controls.Event] = asyncio.Queue()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.bus = bus.Bus(name, key, self.take, self.count, SILENCE_S)
+        self.address = f"127.0.0.1:{find_port()}"
+        self.bus.listen(self.address)
+        self.held: tuple[tables.Table, ...] = ()
+
+    def take(self, event: controls.Event) -> None:
+        """Answer a fetch, or keep the event."""
+        if isinstance(event, controls.FetchRequested):
+            self.bus.answer(event.request, self.held)
+        else:
+            self.events.put_nowait(event)
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Count."""
+        self.counts[name] += amount
+
+    async def receive(self) -> controls.Event:
+        """Return the next event."""
+        return await asyncio.wait_for(self.events.get(), 5)
+
+
+def run(work: abc.Callable[[], abc.Coroutine[typing.Any, typing.Any, None]]) -> None:
+    """Run a test's coroutine."""
+    asyncio.run(asyncio.wait_for(work(), 15))
+
+
+async def publish_until_received(
+    publisher: Party, receiver: Party, message: digests.Digest
+) -> controls.Event:
+    """Publish a digest until it arrives, as the subscription may not be open yet."""
+    for _ in range(100):
+        publisher.bus.publish(message)
+        try:
+            return await asyncio.wait_for(receiver.events.get(), 0.05)
+        except TimeoutError:
+            continue
+    raise AssertionError("nothing received")
+
+
+def test_late_joiner_gets_a_table() -> None:
+    """Guards against a table that only those hear who listened when it was sent."""
+
+    async def work() -> None:
+        holder, joiner = Party("vm-1"), Party("vm-2")
+        table = builders.build_table("booking", 7, 4)
+        holder.held = (table,)
+        entry = digests.Entry("booking", 4, digests.hash_table(table), 4)
+        digest = digests.Digest("vm-1", "riga-a", (entry,))
+        holder.bus.publish(digest)
+        joiner.bus.subscribe([("vm-1", holder.address)])
+        event = await publish_until_received(holder, joiner, digest)
+        assert event == controls.DigestReceived(digest)
+        joiner.bus.fetch("vm-1", holder.address, {})
+        while not isinstance(event, controls.FetchAnswered):
+            event = await joiner.receive()
+        assert event == controls.FetchAnswered("vm-1", (table,))
+        joiner.bus.close()
+        holder.bus.close()
+
+    run(work)
+
+
+def test_silent_subscription_is_dialled_again() -> None:
+    """Guards against an open connection that never brings anything again."""
+
+    async def work() -> None:
+        accepted: list[asyncio.StreamWriter] = []
+
+        async def stay_silent(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            accepted.append(writer)
+            # The header of the SP protocol for a publisher, then nothing.
+            writer.write(bytes([0, ord("S"), ord("P"), 0, 0, 0x20, 0, 0]))
+            await reader.read()
+
+        server = await asyncio.start_server(stay_silent, "127.0.0.1", 0)
+        address = "127.0.0.1:{}".format(server.sockets[0].getsockname()[1])
+        listener = Party("vm-2")
+        listener.bus.subscribe([("vm-1", address)])
+        for _ in range(200):
+            if len(accepted) >= 3:
+                break
+            await asyncio.sleep(0.02)
+        assert len(accepted) >= 3
+        assert listener.counts["bus_redials"] >= 2
+        listener.bus.close()
+        for writer in accepted:
+            writer.close()
+        server.close()
+
+    run(work)
+
+
+@pytest.mark.parametrize("fault", ["other key", "other sender", "garbage"])
+def test_bad_publication_is_dropped_and_counted(fault: str) -> None:
+    """Guards against tables and digests that no control of the deployment sent."""
+
+    async def work() -> None:
+        key = bytes(16) if fault == "other key" else KEY
+        publisher, receiver = Party("vm-1", key), Party("vm-2")
+        name = "vm-9" if fault == "other sender" else "vm-1"
+        receiver.bus.subscribe([("vm-1", publisher.address)])
+        for _ in range(100):
+            if fault == "garbage":
+                publisher.bus.outbox.put_nowait(b"d" + bytes(40))
+            else:
+                publisher.bus.publish(digests.Digest(name, "riga-a", ()))
+            await asyncio.sleep(0.02)
+            if receiver.counts["bus_drops"]:
+                break
+        assert receiver.counts["bus_drops"]
+        assert receiver.events.empty()
+        publisher.bus.close()
+        receiver.bus.close()
+
+    run(work)
+
+
+def test_fetch_from_an_absent_peer_fails() -> None:
+    """Guards against a boot that waits forever for a dead peer."""
+
+    async def work() -> None:
+        party = Party("vm-1")
+        party.bus.fetch("vm-2", f"127.0.0.1:{find_port()}", {})
+        event = await party.receive()
+        assert isinstance(event, controls.FetchFailed)
+        party.bus.close()
+
+    run(work)
+
+
+def test_closed_subscription_leaves_no_socket() -> None:
+    """Guards against descriptors that leak with each change of subscriptions."""
+
+    async def work() -> None:
+        with pynng.Pub0(listen=f"tcp://127.0.0.1:{find_port()}") as publisher:
+            address = publisher.listeners[0].url.removeprefix("tcp://")
+            drops: list[str] = []
+            current = subscription.Subscription(
+                "vm-1", address, [b"d"], 5.0, lambda *_: None, drops.append
+            )
+            while not publisher.pipes:
+                await asyncio.sleep(0.01)
+            current.close()
+            while publisher.pipes:
+                await asyncio.sleep(0.01)
+            assert current.task.cancelled()
+
+    run(work)
