--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -3,14 +3,14 @@
 import pytest
 
 from pistachioshed.ports import store
-from tests import fakes
+from tests import storefakes
 
 ABSENT = store.Compare("/a", "mod", 0)
 
 
 def test_compare_and_swap_has_one_winner() -> None:
     """Guards against two writers that both believe that they won."""
-    fixture = fakes.StoreFixture()
+    fixture = storefakes.StoreFixture()
     first = fixture.run(fixture.store.transact([ABSENT], [store.Put("/a", b"1")]))
     second = fixture.run(fixture.store.transact([ABSENT], [store.Put("/a", b"2")]))
     assert (first.succeeded, second.succeeded) == (True, False)
@@ -22,7 +22,7 @@
 
 def test_prefix_compare_sees_any_later_change() -> None:
     """Guards against a check over all tables that misses a new one."""
-    fixture = fakes.StoreFixture()
+    fixture = storefakes.StoreFixture()
     before = fixture.run(fixture.store.transact([], [store.Put("/t/a", b"1")]))
     unchanged = store.Compare("/t/", "mod", before.revision + 1, "less", prefix=True)
     assert fixture.run(fixture.store.transact([unchanged], [])).succeeded
@@ -35,7 +35,7 @@
 )
 def test_cut_write_is_reported_and_sent_once(fault: str, written: int) -> None:
     """Guards against a write sent again blindly, which could take effect twice."""
-    fixture = fakes.StoreFixture()
+    fixture = storefakes.StoreFixture()
     fixture.set_faults(**{fault: 1})
     with pytest.raises(store.AnswerLost) as caught:
         fixture.run(fixture.store.transact([], [store.Put("/a", b"1")]))
@@ -47,7 +47,7 @@
 
 def test_slow_store_meets_the_deadline() -> None:
     """Guards against a command that hangs with a slow store."""
-    fixture = fakes.StoreFixture()
+    fixture = storefakes.StoreFixture()
     fixture.set_faults(delay_seconds=30.0)
     with pytest.raises(store.StoreUnavailable, match="no answer within"):
         fixture.run(fixture.store.get("/a"), limit_seconds=12.0)
@@ -59,7 +59,7 @@
 
 def test_refused_address_fails_over_without_a_second_write() -> None:
     """Guards against one dead store address that stops reads and writes."""
-    fixture = fakes.StoreFixture(["127.0.0.1:1", "127.0.0.1:2"])
+    fixture = storefakes.StoreFixture(["127.0.0.1:1", "127.0.0.1:2"])
     fixture.agent.refused.add("127.0.0.1:1")
     fixture.run(fixture.store.transact([], [store.Put("/a", b"1")]))
     assert fixture.run(fixture.store.get("/a")).pair is not None
@@ -71,7 +71,7 @@
 
 def test_expired_lease_is_seen_by_its_holder_and_by_watches() -> None:
     """Guards against a paused holder that writes on after its lease ended."""
-    fixture = fakes.StoreFixture()
+    fixture = storefakes.StoreFixture()
     batches: list[store.WatchBatch] = []
     lease = fixture.run(fixture.store.grant_lease(5)).lease
     fixture.run(fixture.store.transact([], [store.Put("/l", b"me", lease)]))
@@ -86,7 +86,7 @@
     watch.stop()
 
 
-def put(fixture: fakes.StoreFixture, *keys: str) -> None:
+def put(fixture: storefakes.StoreFixture, *keys: str) -> None:
     """Write keys, each at its own revision."""
     for key in keys:
         fixture.run(fixture.store.transact([], [store.Put(key, b"1")]))
@@ -100,7 +100,7 @@
 @pytest.mark.parametrize("fault", [{"silence_watches": True}, {"down": True}])
 def test_broken_watch_is_reopened_without_a_lost_event(fault: dict[str, bool]) -> None:
     """Guards against a watch that stays silent, or skips or repeats a change."""
-    fixture = fakes.StoreFixture()
+    fixture = storefakes.StoreFixture()
     batches: list[store.WatchBatch] = []
     watch = fixture.store.watch("/t/", 2, batches.append)
     put(fixture, "/t/a", "/other")
@@ -120,7 +120,7 @@
 
 def test_compacted_watch_continues_from_a_snapshot() -> None:
     """Guards against a watch that can never open again after a compaction."""
-    fixture = fakes.StoreFixture()
+    fixture = storefakes.StoreFixture()
     put(fixture, "/t/a", "/t/b", "/t/a")
     fixture.state.keys.compact(4)
     batches: list[store.WatchBatch] = []
