Read tables and write status by the operators' documents

Cause: the control process had a table codec of its own, and its status value lacked the zone that the operators' command line reads.

--- a/src/pistachioshed/apps/storedriver.py
+++ b/src/pistachioshed/apps/storedriver.py
@@ -4,15 +4,15 @@
 import typing
 from collections import abc
 
-import msgspec
 from twisted.internet import defer, task
 
 from pistachioshed.adapters import jsonlog
-from pistachioshed.core import codec, controls
+from pistachioshed.core import controls
+from pistachioshed.operations import documents
+from pistachioshed.operations import status as status_documents
 from pistachioshed.ports import store
 
 REPORTERS_PREFIX: typing.Final = "/pistachioshed/reporters/"
-STATUS_PREFIX: typing.Final = "/pistachioshed/status/"
 RETRY_S: typing.Final = 1.0
 # The watch reports progress every 2 s and is re-opened after 5 s of silence.
 WATCH_SILENCE_S: typing.Final = 6.0
@@ -47,7 +47,7 @@
         self.clock = clock
         self.now = now
         self.reporter_key = REPORTERS_PREFIX + settings.zone
-        self.status_key = STATUS_PREFIX + settings.zone
+        self.status_key = status_documents.make_status_key(settings.zone)
         self.reading: defer.Deferred[None] | None = None
         self.watch: store.Watch | None = None
         self.heard_at = 0.0
@@ -76,7 +76,7 @@
     async def _read_and_watch(self) -> None:
         while True:
             try:
-                answer = await self.store.get_prefix(codec.TABLES_PREFIX)
+                answer = await self.store.get_prefix(documents.TABLES_PREFIX)
                 break
             except store.StoreError as error:
                 self.dispatch(controls.StoreUnavailable(str(error)))
@@ -86,7 +86,7 @@
         self.dispatch(controls.StoreRead(answer.revision))
         self.heard_at = self.now()
         self.watch = self.store.watch(
-            codec.TABLES_PREFIX, answer.revision + 1, self._take_batch
+            documents.TABLES_PREFIX, answer.revision + 1, self._take_batch
         )
 
     def _take_batch(self, batch: store.WatchBatch) -> None:
@@ -100,15 +100,15 @@
 
     def _take_value(self, key: str, value: bytes, revision: int) -> None:
         try:
-            table = codec.decode_table(key, value)
-        except codec.CodecError as error:
+            table = documents.decode_table(key, value)
+        except documents.DocumentError as error:
             jsonlog.log_failure("decode table", key=key, error=str(error))
             return
         self.dispatch(controls.StoreTable(table, revision))
 
     def read_table(self, service: str) -> None:
         """Read one table."""
-        self.spawn("read table", self._read_table(codec.make_table_key(service)))
+        self.spawn("read table", self._read_table(documents.make_table_key(service)))
 
     async def _read_table(self, key: str) -> None:
         try:
@@ -186,7 +186,8 @@
         self, fence: int, status: dict[str, dict[str, int]]
     ) -> None:
         fenced = store.Compare(self.reporter_key, "create", fence)
-        put = store.Put(self.status_key, msgspec.json.encode(status))
+        document = status_documents.ZoneStatus(zone=self.settings.zone, nodes=status)
+        put = store.Put(self.status_key, status_documents.encode_status(document))
         try:
             answer = await self.store.transact([fenced], [put])
         except store.StoreError as error:
--- a/tools/controlbench.py
+++ b/tools/controlbench.py
@@ -20,7 +20,8 @@
 
 from pistachioshed.adapters import jsonlog, reactors
 from pistachioshed.adapters import link as link_adapter
-from pistachioshed.core import codec, link, tables
+from pistachioshed.core import link, tables
+from pistachioshed.operations import documents
 
 NODES: typing.Final = 8
 ZONES: typing.Final = ("riga-a", "riga-b", "riga-c")
@@ -132,11 +133,11 @@
         """Write one table and return the seconds until it is in force everywhere."""
         service = "booking"
         client = self.daemons[0].driver.ports.store
-        value = codec.encode_table(make_table(service, version))
+        value = documents.encode_table(make_table(service, version))
         from pistachioshed.ports import store
 
         started = time.monotonic()
-        put = store.Put(codec.make_table_key(service), value)
+        put = store.Put(documents.make_table_key(service), value)
         await client.transact([], [put])
         while any(b.versions.get(service) != version for b in self.balancers):
             await self.pause(0.005)
@@ -184,8 +185,8 @@
     bench.start()
     client = bench.daemons[0].driver.ports.store
     for service in SERVICES:
-        value = codec.encode_table(make_table(service, 1))
-        await client.transact([], [store.Put(codec.make_table_key(service), value)])
+        value = documents.encode_table(make_table(service, 1))
+        await client.transact([], [store.Put(documents.make_table_key(service), value)])
     await bench.pause(6.0)
     calls, started = sum(bench.store.calls.values()), time.monotonic()
     idle = await bench.measure_bytes(idle_s)
