--- a/src/pistachioshed/adapters/ini.py
+++ b/src/pistachioshed/adapters/ini.py
@@ -24,7 +24,8 @@
     """One key of a section.
 
     `parse` turns text into a value and raises `ValueError` when it is not allowed;
-    `allowed` says in words what is. A `default` of None makes the key required.
+    `allowed` says in words what is. A `default` of None makes the key required. The
+    value of a `secret` is left out of errors.
     """
 
     section: str
@@ -34,6 +35,7 @@
     allowed: str
     default: str | None = None
     help: str = ""
+    secret: bool = False
 
 
 def read_settings(
@@ -86,7 +88,8 @@
         try:
             values[option.field] = option.parse(text)
         except ValueError:
-            errors.append(_make_error(path, option, f"{text!r} is not allowed"))
+            shown = "the value" if option.secret else repr(text)
+            errors.append(_make_error(path, option, f"{shown} is not allowed"))
     if errors:
         raise ExceptionGroup("settings", errors)
     return build(**values)
--- a/src/pistachioshed/apps/balancer.py
+++ b/src/pistachioshed/apps/balancer.py
@@ -126,6 +126,8 @@
             self.datagrams.handle(events.TableReceived(table))
         for probe in update.probes:
             self.datagrams.handle(probe)
+        for service, version in self.node.versions.items():
+            self.metrics.set_gauge("table_version", version, service=service)
 
     def request_stop(self) -> None:
         """Start a graceful stop; later requests change nothing."""
--- a/src/pistachioshed/apps/balanceroptions.py
+++ b/src/pistachioshed/apps/balanceroptions.py
@@ -123,7 +123,7 @@
         parse_key,
         "16 to 64 bytes as hexadecimal digits",
         "key shared by all balancers of the deployment",
-    ),
+    )._replace(secret=True),
     _make_option(
         "capacity",
         ini.parse_positive,
--- /dev/null
+++ b/tests/playground.py
@@ -0,0 +1,99 @@
+"""Three balancers, upstreams and a fabric as processes, for tests by outcome."""
+
+import asyncio
+import contextlib
+import pathlib
+import threading
+import time
+import typing
+from collections import abc
+
+from pistachioshed.core import tables
+from standins import hosts, http3
+from tools import feeder, fleet, layouts, processes
+
+BALANCERS: typing.Final = 3
+SETTLE_S: typing.Final = 4.0
+FEED_S: typing.Final = 0.5
+JOIN_LIMIT_S: typing.Final = 20.0
+LAYOUT: typing.Final = layouts.KRASOTAVA._replace(
+    name="test",
+    services=(layouts.Service("sheets", 3, "sheets"),),
+    base=24_000,
+)
+
+
+@contextlib.contextmanager
+def run_fleet(directory: pathlib.Path) -> abc.Iterator[fleet.Fleet]:
+    """Run the processes, with a fixed table and VM list, and end them."""
+    supervisor = processes.Supervisor(directory)
+    running = fleet.Fleet(LAYOUT, supervisor, BALANCERS)
+    control = feeder.Feeder([LAYOUT.find_control(n) for n in range(BALANCERS)])
+    stopped = threading.Event()
+
+    def feed() -> None:
+        while not stopped.wait(FEED_S):
+            control.send([LAYOUT.build_table(0)], running.vms)
+            control.read_reports()
+
+    def has_joined() -> bool:
+        reports = control.reports.values()
+        return len(reports) == BALANCERS and all(
+            report.state == "active" and len(report.members) == BALANCERS
+            for report in reports
+        )
+
+    thread = threading.Thread(target=feed)
+    thread.start()
+    try:
+        running.start_upstreams()
+        running.start_fabric(seed=1)
+        running.start_balancers()
+        supervisor.wait_for("all balancers active", has_joined, JOIN_LIMIT_S)
+        time.sleep(SETTLE_S)
+        yield running
+    finally:
+        stopped.set()
+        thread.join()
+        control.close()
+        supervisor.stop_all()
+
+
+async def download(
+    flows: int,
+    size: int,
+    seconds: float,
+    change: abc.Callable[[], None],
+) -> list[tuple[int, str]]:
+    """Download sheets one after the other over several flows, and make a change.
+
+    Returns
+    -------
+    list of tuple of int and str
+        Per flow, the whole downloads and what broke it, empty if nothing did.
+    """
+    address = tables.parse_address(LAYOUT.find_front(0))
+    end_s = time.monotonic() + seconds
+
+    async def run_flow(number: int) -> tuple[int, str]:
+        client = await http3.open_connection(address)
+        whole = 0
+        while time.monotonic() < end_s:
+            name = f"{number}-{whole}"
+            path = f"/sheet?name={name}&size={size}"
+            try:
+                response = await client.request("GET", path, {}, 10)
+            except ConnectionError as error:
+                return whole, str(error)
+            if response.body != hosts.make_sheet(name, size):
+                return whole, f"sheet {name} was not whole"
+            whole += 1
+        await http3.close_connection(client)
+        return whole, ""
+
+    async def run_change() -> None:
+        await asyncio.sleep(seconds / 4)
+        await asyncio.to_thread(change)
+
+    *results, _ = await asyncio.gather(*map(run_flow, range(flows)), run_change())
+    return typing.cast(list[tuple[int, str]], results)
