Measure the decision core in the experiment tool

Change: the core and its weight-only form join the baselines; versions in force are read from the node.

--- a/src/pistachioshed/apps/balancer.py
+++ b/src/pistachioshed/apps/balancer.py
@@ -12,9 +12,9 @@
 from pistachioshed.adapters import datagrams, jsonlog, metrics, reactors
 from pistachioshed.adapters import link as links
 from pistachioshed.apps import balanceroptions
-from pistachioshed.apps import fakenode as nodes
 from pistachioshed.core import events
 from pistachioshed.core import link as messages
+from pistachioshed.core import node as nodes
 
 TICK_S: typing.Final = 0.1
 REPORT_S: typing.Final = 1.0
--- a/src/pistachioshed/lab/baselines.py
+++ b/src/pistachioshed/lab/baselines.py
@@ -32,6 +32,11 @@
         self.port_of: dict[tuple[str, str, bytes], int] = {}
         self.turn = 0
 
+    @property
+    def versions(self) -> dict[str, int]:
+        """The table version in force per service."""
+        return {table.service: table.version for table in self.tables.values()}
+
     def handle(self, event: events.Event, now: float) -> list[events.Action]:
         """Return the actions for an event."""
         if isinstance(event, events.CallerPacket):
--- a/src/pistachioshed/lab/fleet.py
+++ b/src/pistachioshed/lab/fleet.py
@@ -21,6 +21,10 @@
 class NodeLike(typing.Protocol):
     """What an experiment needs of a balancer."""
 
+    @property
+    def versions(self) -> dict[str, int]:
+        """The table version in force per service."""
+
     def handle(self, event: events.Event, now: float) -> list[events.Action]:
         """Return the actions for an event."""
 
@@ -179,12 +183,13 @@
         for action in node.handle(event, self.clock.now):
             self._carry_out(name, action, packet)
         if isinstance(event, events.TableReceived):
-            table = event.table
-            self.records.append(
-                history.VersionInForce(
-                    name, table.service, table.version, self.clock.now
-                )
-            )
+            self._record_version(name, node, event.table.service)
+
+    def _record_version(self, name: str, node: NodeLike, service: str) -> None:
+        version = node.versions.get(service, 0)
+        self.records.append(
+            history.VersionInForce(name, service, version, self.clock.now)
+        )
 
     def freeze_node(self, name: str, duration_s: float) -> None:
         """Pause a balancer, as a stop signal does, and let it go on later."""
--- a/src/pistachioshed/lab/policies.py
+++ b/src/pistachioshed/lab/policies.py
@@ -2,10 +2,20 @@
 
 import typing
 
-from pistachioshed.core import settings
+from pistachioshed.core import node, placement, settings
 from pistachioshed.lab import baselines, fleet
 
 
+def build_core(node_settings: settings.Settings, seed: int) -> fleet.NodeLike:
+    """Return the decision core with its own policy."""
+    return node.Node(node_settings, seed)
+
+
+def build_weight_only(node_settings: settings.Settings, seed: int) -> fleet.NodeLike:
+    """Return the decision core that places by hash and weight alone."""
+    return node.Node(node_settings, seed, placement.choose_first)
+
+
 def build_modulo(node_settings: settings.Settings, seed: int) -> fleet.NodeLike:
     """Return a balancer that hashes modulo the pool, without tracking."""
     return baselines.Baseline(node_settings, baselines.choose_by_modulo, False)
@@ -22,6 +32,8 @@
 
 
 POLICIES: typing.Final[dict[str, fleet.BuildNode]] = {
+    "core": build_core,
+    "weight only": build_weight_only,
     "modulo": build_modulo,
     "consistent": build_consistent,
     "round robin": build_round_robin,
