--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -21,6 +21,7 @@
     [
         (("initial",), events.PacketKind.OPENING, False),
         (("initial", "early"), events.PacketKind.OPENING, True),
+        (("initial", "short"), events.PacketKind.DATA, False),
         (("initial", "handshake"), events.PacketKind.DATA, False),
         (("initial", "handshake", "short"), events.PacketKind.DATA, False),
         (("handshake",), events.PacketKind.DATA, False),
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -37,9 +37,18 @@
 
 
 @FUZZ
-@hypothesis.given(strategies.binary(max_size=60))
-def test_any_frame_with_a_valid_tag_is_decoded_or_rejected(body: bytes) -> None:
-    """Guards against lengths beyond the end of a frame that a peer made."""
+@hypothesis.given(
+    strategies.integers(0, 70),
+    strategies.sampled_from((0, 5, 6, 18, 255)),
+    strategies.binary(max_size=90),
+)
+def test_frame_of_a_peer_is_decoded_or_rejected(
+    name_length: int,
+    flow_length: int,
+    rest: bytes,
+) -> None:
+    """Guards against lengths beyond the end of a frame with a valid tag."""
+    body = bytes((name_length, flow_length)) + rest
     tag = relay.compute_tag(body, KEY)
     framed = bytes((relay.RELAY, relay.VERSION)) + tag + body
     try:
@@ -47,3 +56,4 @@
     except relay.RelayError:
         return
     assert relay.encode_relay(decoded, KEY) == framed
+    assert relay.pack_flow(relay.unpack_flow(decoded.flow)) == decoded.flow
