Test succession, refusals and isolation on small fleets

The tests run real nodes that exchange packets without delay. They showed that a successor moved the opening of a handshake in progress to another row: until a view has settled an opening now goes to its exception or its home.

--- a/src/pistachioshed/core/service.py
+++ b/src/pistachioshed/core/service.py
@@ -177,16 +177,17 @@
     def _choose(self, key: bytes, settled: bool, now: float) -> flows.Upstream | None:
         ranked = hashing.rank_choices(key, self.generations.newest.choices)
         candidates = self.pool.list_candidates(key, ranked, now)
+        home = ranked[0] if ranked else None
         if not settled and not self.config.openings_carry_requests:
-            # The previous owner may have placed an earlier copy of this opening.
-            placed = self.exceptions.find(self.name, key)
+            # The previous owner may have placed an earlier copy of this opening, on
+            # its home unless it is an exception.
+            placed = self.exceptions.find(self.name, key) or home
             for candidate in candidates:
                 if candidate.upstream.name == placed:
                     return candidate.upstream
         typical_s = load.compute_typical_latency(
             (candidate.upstream.load for candidate in candidates), now
         )
-        home = ranked[0] if ranked else None
         return self.policy(home, candidates, typical_s, now)
 
     def _find_established(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,22 +1,28 @@
 """Data path of a node: openings, known flows, relays and isolation."""
 
+import random
+
+import pytest
+
 from pistachioshed.core import events
 from tests import builders, fleets
 
 TABLE = builders.build_table(fleets.SERVICE, 7)
+OTHER = builders.build_table("sheets", 2)
 
 
 def test_packets_of_a_flow_keep_their_upstream_and_port() -> None:
     """Guards against data or retransmitted openings that rebind a flow."""
     fleet = fleets.Fleet(TABLE)
-    (_, first) = fleet.open([1])[1]
-    fleet.edit(fleets.replace_row(TABLE, 0, weight=3.0))
-    for packet in (fleets.build_data(1), fleets.build_opening(1)):
-        assert fleet.send(fleets.FIRST, packet) == (fleets.FIRST, first)
-    answer = events.UpstreamPacket(fleets.SERVICE, first.upstream, first.port)
-    assert fleet.handle(fleets.FIRST, answer) == [
-        events.SendCaller(fleets.SERVICE, b"flow-1")
-    ]
+    placed = fleet.open(range(50))
+    fleet.edit(fleets.replace_row(TABLE, 0, weight=9.0))
+    for number, place in placed.items():
+        for packet in (fleets.build_data(number), fleets.build_opening(number)):
+            assert fleet.send(fleets.FIRST, packet) == place
+        answer = events.UpstreamPacket(fleets.SERVICE, place[1].upstream, place[1].port)
+        assert fleet.handle(fleets.FIRST, answer) == [
+            events.SendCaller(fleets.SERVICE, b"flow-%d" % number)
+        ]
 
 
 def test_packet_is_relayed_once_to_the_owner() -> None:
@@ -24,8 +30,195 @@
     fleet = fleets.Fleet(TABLE, 2)
     owners = [owner for owner, _ in fleet.open(range(100)).values()]
     assert 30 < owners.count("balancer-2") < 70
-    held = {
-        name: node.count_flows(fleets.SERVICE) for name, node in fleet.nodes.items()
-    }
-    assert held["balancer-2"] == owners.count("balancer-2")
-    assert sum(held.values()) == 100
+    held = [node.count_flows(fleets.SERVICE) for node in fleet.nodes.values()]
+    assert held == [owners.count("balancer-1"), owners.count("balancer-2")]
+
+
+def test_new_opening_id_is_a_new_connection() -> None:
+    """Guards against a late copy of an old opening that takes over a new flow."""
+    fleet = fleets.Fleet(TABLE)
+    (_, old) = fleet.open([1])[1]
+    drained = next(
+        i for i, row in enumerate(TABLE.rows) if row.upstream == old.upstream
+    )
+    fleet.edit(fleets.replace_row(TABLE, drained, state="drain"))
+    _, new = fleet.send(fleets.FIRST, fleets.build_opening(1, opening_id=2))
+    assert isinstance(new, events.SendUpstream)
+    assert new.upstream != old.upstream
+    _, late = fleet.send(fleets.FIRST, fleets.build_opening(1, opening_id=1))
+    assert late == events.DropPacket("superseded opening")
+    assert fleet.send(fleets.FIRST, fleets.build_data(1))[1] == new
+    # The old port stays empty, so a late response reaches nobody.
+    answer = events.UpstreamPacket(fleets.SERVICE, old.upstream, old.port)
+    assert fleet.handle(fleets.FIRST, answer) == [events.DropPacket("unbound port")]
+
+
+def test_refused_opening_is_refused_again() -> None:
+    """Guards against executing a request that a refusal called not run."""
+    rows = tuple(row._replace(connections=2) for row in TABLE.rows)
+    fleet = fleets.Fleet(TABLE._replace(rows=rows), flow_idle_s=600.0)
+    fleet.open(range(14))
+    opening = fleets.build_opening(99)
+    refusal = events.RefuseOpening("no upstream admits the flow", not_run=True)
+    assert fleet.send(fleets.FIRST, opening)[1] == refusal
+    fleet.handle(fleets.FIRST, events.FlowClosed(fleets.SERVICE, b"flow-3"))
+    assert fleet.send(fleets.FIRST, opening)[1] == refusal
+    data = fleet.send(fleets.FIRST, fleets.build_data(99))[1]
+    assert data == events.DropPacket("refused flow")
+    retry = fleet.send(fleets.FIRST, fleets.build_opening(99, opening_id=2))[1]
+    assert isinstance(retry, events.SendUpstream)
+    fleet.handle(fleets.FIRST, events.FlowClosed(fleets.SERVICE, b"flow-99"))
+    fleet.advance(31.0)
+    assert isinstance(fleet.send(fleets.FIRST, opening)[1], events.SendUpstream)
+
+
+def test_data_is_never_refused_for_a_full_upstream() -> None:
+    """Guards against a refusal of a request that may have run."""
+    rows = tuple(row._replace(connections=0) for row in TABLE.rows)
+    fleet = fleets.Fleet(TABLE._replace(rows=rows))
+    assert len(fleet.find_upstreams(range(20))) == 20
+
+
+def test_addresses_of_services_are_disjoint() -> None:
+    """Guards against a packet of one service that reaches another's upstream."""
+    fleet = fleets.Fleet(TABLE)
+    stolen = OTHER.rows[0]._replace(address=TABLE.rows[0].address)
+    for _ in range(3):
+        table = OTHER._replace(rows=(stolen,))
+        fleet.handle(fleets.FIRST, events.TableReceived(table))
+    refused = [note for note in fleet.notices if note.name == "table refused"]
+    assert len(refused) == 1
+    assert "sheets" not in fleet.nodes[fleets.FIRST].versions
+    gone = TABLE._replace(version=2, rows=TABLE.rows[1:])
+    fleet.edit(gone)
+    fleet.advance(1.0)
+    fleet.handle(fleets.FIRST, events.TableReceived(table))
+    assert fleet.nodes[fleets.FIRST].versions["sheets"] == 1
+
+
+def test_forgotten_row_is_not_reached_through_an_old_generation() -> None:
+    """Guards against data sent to a removed row whose address changed service."""
+    fleet = fleets.Fleet(TABLE)
+    fleet.edit(TABLE._replace(version=2, rows=TABLE.rows[1:]))
+    fleet.advance(1.0)
+    taken = OTHER.rows[0]._replace(address=TABLE.rows[0].address)
+    other = OTHER._replace(rows=(taken,))
+    fleet.handle(fleets.FIRST, events.TableReceived(other))
+    kept = fleet.nodes[fleets.FIRST].services[fleets.SERVICE]
+    kept.exceptions.find = lambda service, flow: TABLE.rows[0].upstream  # type: ignore[method-assign]
+    upstreams = fleet.find_upstreams(range(50)).values()
+    assert TABLE.rows[0].upstream not in upstreams
+
+
+def test_rows_that_share_a_name_or_an_address_share_ports() -> None:
+    """Guards against one caller's response reaching another after a renamed row."""
+    fleet = fleets.Fleet(TABLE._replace(rows=TABLE.rows[:1]))
+    (_, first) = fleet.open([1])[1]
+    for version, changes in ((2, {"address": "127.0.0.9:1"}), (3, {"upstream": "new"})):
+        row = TABLE.rows[0]._replace(**changes)
+        fleet.edit(TABLE._replace(version=version, rows=(row,)))
+        (_, other) = fleet.open([version])[version]
+        assert other.port != first.port
+    assert fleet.send(fleets.FIRST, fleets.build_data(1))[1] == first
+
+
+def test_table_versions_only_rise() -> None:
+    """Guards against an old table that reverts an edit."""
+    fleet = fleets.Fleet(TABLE._replace(version=5))
+    for version in (4, 5):
+        fleet.edit(TABLE._replace(version=version, rows=TABLE.rows[:1]))
+    places = [action.upstream for _, action in fleet.open(range(50)).values()]
+    assert len(set(places)) > 3
+
+
+@pytest.mark.parametrize(
+    ("event", "reason"),
+    [
+        (fleets.build_data(1)._replace(service="none"), "unknown service"),
+        (events.UpstreamPacket("none", "booking-1", 0), "unknown service"),
+        (events.UpstreamPacket(fleets.SERVICE, "none", 0), "unbound port"),
+        (events.UpstreamPacket(fleets.SERVICE, "booking-1", 0), "unbound port"),
+        (events.UpstreamPacket(fleets.SERVICE, "booking-1", -1), "unbound port"),
+        (events.RelayedPacket("stranger", *fleets.build_opening(1)), "unknown peer"),
+        (events.PeerMessage("balancer-2", b"\x01forged"), "invalid control message"),
+        (events.PeerMessage("balancer-2", b""), "invalid control message"),
+    ],
+)
+def test_unwanted_packet_is_dropped_and_counted(
+    event: events.Event, reason: str
+) -> None:
+    """Guards against exceptions, uncounted drops and packets sent elsewhere."""
+    fleet = fleets.Fleet(TABLE, spare=1)
+    assert fleet.handle(fleets.FIRST, event) == [events.DropPacket(reason)]
+    assert fleet.nodes[fleets.FIRST].drops[reason] == 1
+
+
+def test_silent_flow_expires_and_a_live_one_stays() -> None:
+    """Guards against leaked flows, and against ending a flow that only listens."""
+    fleet = fleets.Fleet(TABLE)
+    placed = fleet.open(range(2))
+    (_, kept) = placed[1]
+    for _ in range(14):
+        fleet.advance(5.0)
+        packet = events.UpstreamPacket(fleets.SERVICE, kept.upstream, kept.port)
+        fleet.handle(fleets.FIRST, packet)
+    state = fleet.nodes[fleets.FIRST].services[fleets.SERVICE]
+    assert list(state.table.flows) == [b"flow-1"]
+    assert sum(upstream.load.open for upstream in state.pool.upstreams.values()) == 1
+
+
+def test_pause_of_the_process_ends_no_flow() -> None:
+    """Guards against expiry of flows whose packets wait in the sockets."""
+    fleet = fleets.Fleet(TABLE)
+    fleet.open(range(20))
+    fleet.now += 90.0
+    fleet.advance(2.0)
+    assert fleet.nodes[fleets.FIRST].count_flows(fleets.SERVICE) == 20
+
+
+@pytest.mark.parametrize("strict", [False, True])
+def test_any_sequence_of_events_is_handled(strict: bool) -> None:
+    """Guards against exceptions and corrupt counts under combined changes."""
+    rng = random.Random(7)
+    fleet = fleets.Fleet(TABLE, 3, openings_carry_requests=strict, flow_idle_s=3.0)
+    version = 1
+    for _ in range(6_000):
+        name = rng.choice(list(fleet.nodes))
+        number = rng.randrange(200)
+        match rng.randrange(12):
+            case 0:
+                version += 1
+                rows = rng.sample(TABLE.rows, rng.randint(0, 7))
+                table = TABLE._replace(version=version, rows=tuple(rows))
+                fleet.handle(name, events.TableReceived(table))
+            case 1:
+                ok, draining = rng.random() < 0.5, rng.random() < 0.2
+                upstream = rng.choice(TABLE.rows).upstream
+                probe = events.ProbeReported(fleets.SERVICE, upstream, ok, draining)
+                fleet.handle(name, probe)
+            case 2:
+                flow = b"flow-%d" % number
+                fleet.handle(name, events.FlowClosed(fleets.SERVICE, flow))
+            case 3:
+                fleet.advance(rng.choice((0.1, 1.0)))
+            case 4 | 5 | 6:
+                fleet.send(name, fleets.build_opening(number, rng.randrange(1, 4)))
+            case 7:
+                upstream = rng.choice(TABLE.rows).upstream
+                port = rng.randrange(40)
+                fleet.handle(
+                    name, events.UpstreamPacket(fleets.SERVICE, upstream, port)
+                )
+            case _:
+                fleet.send(name, fleets.build_data(number))
+    for node in fleet.nodes.values():
+        state = node.services[fleets.SERVICE]
+        upstreams = {*state.pool.upstreams.values(), *state.pool.retired}
+        held = state.table.flows.values()
+        assert sum(upstream.load.open for upstream in upstreams) == len(held)
+        assert {
+            flow.upstream.ports[flow.port] is flow and flow.upstream in upstreams
+            for flow in held
+        } <= {True}
+        waiting = sum(flow.asked_at is not None for flow in held)
+        assert sum(upstream.load.waiting for upstream in upstreams) == waiting
--- /dev/null
+++ b/tests/test_succession.py
@@ -0,0 +1,173 @@
+"""Flows survive changes of balancers and tables."""
+
+import pytest
+
+from pistachioshed.core import events, tables
+from tests import builders, fleets
+
+TABLE = builders.build_table(fleets.SERVICE, 7)
+FLOWS = range(300)
+DRAINED = fleets.replace_row(TABLE, 2, state="drain")
+REMOVED = TABLE._replace(version=2, rows=TABLE.rows[:2] + TABLE.rows[3:])
+LIGHTER = fleets.replace_row(TABLE, 2, weight=0.2)
+
+
+def read_places(fleet: fleets.Fleet) -> dict[int, str]:
+    """Open all flows and return their upstreams."""
+    return {number: act.upstream for number, (_, act) in fleet.open(FLOWS).items()}
+
+
+def test_flows_survive_the_death_of_their_owner() -> None:
+    """Guards against exceptions that the successor does not look up."""
+    fleet = fleets.Fleet(TABLE, 4)
+    places = read_places(fleet)
+    fleet.advance(10.0)
+    del fleet.nodes["balancer-2"]
+    fleet.advance(4.0)
+    assert fleet.find_upstreams(FLOWS) == places
+
+
+def test_flows_survive_a_death_after_an_edit() -> None:
+    """Guards against taking the newest home for a flow older than the table."""
+    fleet = fleets.Fleet(TABLE, 4)
+    places = read_places(fleet)
+    fleet.edit(LIGHTER)
+    fleet.advance(10.0)
+    del fleet.nodes["balancer-2"]
+    fleet.advance(4.0)
+    assert fleet.find_upstreams(FLOWS) == places
+
+
+def test_flows_survive_a_death_while_an_edit_spreads() -> None:
+    """Guards against the newest home for an owner that did not mark the new table."""
+    fleet = fleets.Fleet(TABLE, 4)
+    places = read_places(fleet)
+    fleet.advance(10.0)
+    del fleet.nodes["balancer-2"]
+    fleet.edit(LIGHTER)
+    fleet.advance(4.0)
+    assert fleet.find_upstreams(FLOWS) == places
+
+
+def test_flows_survive_a_planned_leave() -> None:
+    """Guards against a stop that interrupts flows or never ends."""
+    fleet = fleets.Fleet(TABLE, 4)
+    places = read_places(fleet)
+    fleet.advance(1.0)
+    fleet.handle("balancer-2", events.StopRequested())
+    for _ in range(12):
+        fleet.advance(0.5)
+        assert fleet.find_upstreams(FLOWS) == places
+    assert fleet.finished == ["balancer-2"]
+    del fleet.nodes["balancer-2"]
+    fleet.advance(4.0)
+    assert fleet.find_upstreams(FLOWS) == places
+
+
+def test_leaving_node_waits_for_a_response() -> None:
+    """Guards against a stop that cuts off a request in progress."""
+    fleet = fleets.Fleet(TABLE, 2)
+    fleet.open(range(1))
+    owner, action = fleet.send(fleets.FIRST, fleets.build_data(0))
+    assert isinstance(action, events.SendUpstream)
+    fleet.handle(owner, events.StopRequested())
+    fleet.advance(8.0)
+    assert fleet.finished == []
+    answer = events.UpstreamPacket(fleets.SERVICE, action.upstream, action.port)
+    assert len(fleet.handle(owner, answer)) == 1
+    fleet.advance(4.0)
+    assert fleet.finished == [owner]
+
+
+def test_flows_survive_a_join() -> None:
+    """Guards against a new owner that places established flows anew."""
+    fleet = fleets.Fleet(TABLE, 3, spare=1)
+    places = read_places(fleet)
+    fleet.edit(LIGHTER)
+    fleet.advance(1.0)
+    fleet.start("balancer-4")
+    for _ in range(16):
+        fleet.advance(0.5)
+        assert fleet.find_upstreams(FLOWS) == places
+    assert fleet.nodes["balancer-4"].count_flows(fleets.SERVICE) > 0
+
+
+def test_frozen_balancer_resumes_with_its_bindings() -> None:
+    """Guards against a resumed node that sends flows elsewhere than its successor."""
+    fleet = fleets.Fleet(TABLE, 4)
+    places = read_places(fleet)
+    fleet.advance(10.0)
+    frozen = fleet.nodes.pop("balancer-2")
+    fleet.advance(4.0)
+    assert fleet.find_upstreams(FLOWS) == places
+    fleet.nodes["balancer-2"] = frozen
+    for _ in range(8):
+        assert fleet.find_upstreams(FLOWS) == places
+        fleet.advance(0.5)
+
+
+@pytest.mark.parametrize("edited", [DRAINED, REMOVED], ids=["drained", "removed"])
+def test_flows_of_a_row_outlive_it(edited: tables.Table) -> None:
+    """Guards against new flows on a row out of use, and against ending old ones."""
+    fleet = fleets.Fleet(TABLE, 3)
+    places = read_places(fleet)
+    gone = TABLE.rows[2].upstream
+    assert gone in places.values()
+    fleet.edit(edited)
+    fleet.advance(10.0)
+    later = fleet.open(range(1_000, 1_200))
+    assert gone not in {action.upstream for _, action in later.values()}
+    del fleet.nodes["balancer-2"]
+    fleet.advance(4.0)
+    assert fleet.find_upstreams(FLOWS) == places
+
+
+def test_table_change_closes_its_generation_last() -> None:
+    """Guards against a mark that is sent before all exceptions are put."""
+    fleet = fleets.Fleet(TABLE, flow_idle_s=600.0)
+    service = fleet.nodes[fleets.FIRST].services[fleets.SERVICE]
+    fleet.open(range(1_500))
+    before = sum(flow.moved for flow in service.table.flows.values())
+    fleet.edit(REMOVED)
+    closed = fleet.nodes[fleets.FIRST].peering.replicator.closed
+    fleet.advance(0.1)
+    assert closed[fleets.SERVICE] == 1
+    fleet.advance(0.3)
+    assert closed[fleets.SERVICE] == 2
+    moved = sum(flow.moved for flow in service.table.flows.values())
+    assert moved >= before + 150
+
+
+def test_opening_repeated_at_a_successor_keeps_its_upstream() -> None:
+    """Guards against two upstreams that both take part in one handshake."""
+    fleet = fleets.Fleet(TABLE, 4, settle_s=10.0)
+    places = read_places(fleet)
+    fleet.advance(10.0)
+    del fleet.nodes["balancer-2"]
+    fleet.advance(4.0)
+    assert read_places(fleet) == places
+
+
+def test_strict_openings_wait_until_settled() -> None:
+    """Guards against running a request twice while nodes disagree on its home."""
+    fleet = fleets.Fleet(TABLE, openings_carry_requests=True)
+    fleet.edit(LIGHTER)
+    unsettled = []
+    for number in FLOWS:
+        _, action = fleet.send(fleets.FIRST, fleets.build_opening(number))
+        if action == events.DropPacket("home not settled"):
+            unsettled.append(number)
+    assert 10 < len(unsettled) < 100
+    fleet.advance(3.1)
+    fleet.open(unsettled)
+    state = fleet.nodes[fleets.FIRST].services[fleets.SERVICE]
+    assert not any(flow.moved for flow in state.table.flows.values())
+
+
+def test_strict_refusal_is_never_called_not_run() -> None:
+    """Guards against a retry of a request that may have run elsewhere."""
+    rows = tuple(row._replace(connections=0) for row in TABLE.rows)
+    fleet = fleets.Fleet(TABLE._replace(rows=rows), openings_carry_requests=True)
+    _, action = fleet.send(fleets.FIRST, fleets.build_opening(1))
+    assert isinstance(action, events.RefuseOpening)
+    assert not action.not_run
