Run the balancer on the decision core

Cause: the core's node, membership and replication are complete. Change: the provisional core is gone; process-level tests kill one balancer of three and stop another under downloads. The test's callers send keepalives as the stand-ins do, since a server whose path died learns of the new one only by its client's packets.

--- a/src/pistachioshed/apps/balancer.py
+++ b/src/pistachioshed/apps/balancer.py
@@ -12,8 +12,7 @@
 from pistachioshed.adapters import datagrams, jsonlog, metrics, reactors
 from pistachioshed.adapters import link as links
 from pistachioshed.apps import balanceroptions
-from pistachioshed.apps import fakenode as nodes
-from pistachioshed.core import events
+from pistachioshed.core import events, node
 from pistachioshed.core import link as messages
 
 TICK_S: typing.Final = 0.1
@@ -38,7 +37,7 @@
         self.settings = settings
         self.reactor = reactor
         seed = time.time_ns() & 0xFFFFFFFF
-        self.node = nodes.Node(settings.core, seed)
+        self.node = node.Node(settings.core, seed)
         self.datagrams = datagrams.Datagrams(
             self.node,
             settings.core.key,
--- a/tests/playground.py
+++ b/tests/playground.py
@@ -9,7 +9,7 @@
 from collections import abc
 
 from pistachioshed.core import tables
-from standins import hosts, http3
+from standins import caller, hosts, http3
 from tools import feeder, fleet, layouts, processes
 
 BALANCERS: typing.Final = 3
@@ -77,6 +77,8 @@
 
     async def run_flow(number: int) -> tuple[int, str]:
         client = await http3.open_connection(address)
+        # A server whose path died learns of the new one by a packet of its client.
+        keepalive = asyncio.create_task(caller.send_keepalives(client))
         whole = 0
         while time.monotonic() < end_s:
             name = f"{number}-{whole}"
@@ -88,6 +90,7 @@
             if response.body != hosts.make_sheet(name, size):
                 return whole, f"sheet {name} was not whole"
             whole += 1
+        keepalive.cancel()
         await http3.close_connection(client)
         return whole, ""
 
