Test placement and health; stop counting lost requests as load

A host that recovered got no new flow, since requests lost during its outage still counted as waiting. Their waits now end with the recovery, and any wait ends after 30 s.

--- a/src/pistachioshed/core/pool.py
+++ b/src/pistachioshed/core/pool.py
@@ -181,6 +181,11 @@
     ) -> list[events.Action]:
         if upstream.health.state == before:
             return []
+        if upstream.health.state == "recovering":
+            # Requests from before the recovery are lost and no sign of load.
+            for flow in upstream.ports:
+                if flow is not None:
+                    flows.end_wait(flow)
         fields: dict[str, object] = {
             "service": self.service,
             "upstream": upstream.name,
--- a/src/pistachioshed/core/service.py
+++ b/src/pistachioshed/core/service.py
@@ -21,6 +21,7 @@
 # After a pause of this process flows look idle until their next packet arrives.
 PAUSE_S: typing.Final = 1.0
 PAUSE_GRACE_S: typing.Final = 5.0
+WAIT_MAX_S: typing.Final = 30.0
 EXPIRY_TICKS: typing.Final = 50
 EXPIRY_STEPS_MIN: typing.Final = 100
 
@@ -234,8 +235,16 @@
         taken = 0
         for flow in itertools.islice(self._expiring, steps):
             taken += 1
-            if flow is not None and flow.seen < oldest:
+            if flow is None:
+                continue
+            if flow.seen < oldest:
                 self.close_flow(flow.key, now)
+            elif flow.asked_at is not None and now - flow.asked_at > WAIT_MAX_S:
+                # A connection that went silent for good is neither the upstream's
+                # load nor, when it asks again, one more silent flow.
+                flows.end_wait(flow)
+                status = flow.upstream.load
+                status.unheard = max(0, status.unheard - 1)
         if taken < steps:
             self._expiring = self._walk_flows()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -114,8 +114,9 @@
     """Guards against one caller's response reaching another after a renamed row."""
     fleet = fleets.Fleet(TABLE._replace(rows=TABLE.rows[:1]))
     (_, first) = fleet.open([1])[1]
-    for version, changes in ((2, {"address": "127.0.0.9:1"}), (3, {"upstream": "new"})):
-        row = TABLE.rows[0]._replace(**changes)
+    moved = TABLE.rows[0]._replace(address="127.0.0.9:1")
+    renamed = TABLE.rows[0]._replace(upstream="new")
+    for version, row in ((2, moved), (3, renamed)):
         fleet.edit(TABLE._replace(version=version, rows=(row,)))
         (_, other) = fleet.open([version])[version]
         assert other.port != first.port
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,288 @@
+"""Placement, load shares and health of upstreams."""
+
+import math
+
+import pytest
+import xxhash
+
+from pistachioshed.core import (
+    events,
+    flows,
+    generations,
+    hashing,
+    load,
+    placement,
+    settings,
+)
+from tests import builders, fleets
+
+CONFIG = settings.Settings(fleets.FIRST, "riga-a")
+TABLE = builders.build_table(fleets.SERVICE, 4)
+
+
+def build_candidate(
+    name: str, cold: bool = False, **fields: float
+) -> placement.Candidate:
+    """Return a candidate with measured load."""
+    upstream = flows.Upstream(name, f"{name}:1")
+    upstream.load.latency_at = 0.0
+    upstream.load.latency_s = 0.01
+    for field, value in fields.items():
+        setattr(upstream.load, field, value)
+    return placement.Candidate(upstream, cold)
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "chosen"),
+    [
+        ({}, {}, "home"),
+        ({"waiting": 1}, {}, "other"),
+        ({"latency_s": 0.012}, {}, "home"),
+        ({"latency_s": 0.05}, {}, "other"),
+        ({"latency_s": 0.05, "latency_at": -20.0}, {}, "home"),
+        ({"weight": 0.5}, {}, "other"),
+        ({"open": 20}, {"open": 10}, "other"),
+        ({"open": 20}, {"open": 19}, "home"),
+        ({"open": 20}, {"open": 10, "waiting": 1}, "home"),
+        ({"probed": 0.0, "open": 10}, {"open": 9}, "home"),
+        ({"probed": 0.9, "open": 10}, {"open": 9}, "other"),
+        ({"probed": 0.9, "open": 10}, {"open": 10}, "home"),
+        ({"cold": True}, {"latency_s": 0.05}, "other"),
+        ({}, {"cold": True}, "home"),
+        ({"cold": True}, {"cold": True}, "home"),
+    ],
+)
+def test_less_loaded_candidate_is_chosen(
+    first: dict[str, float], second: dict[str, float], chosen: str
+) -> None:
+    """Guards against a straggler that keeps its flows, and against needless moves."""
+    choose = placement.build_policy(CONFIG, lambda: 0)
+    candidates = [
+        build_candidate("home", **first),  # type: ignore[arg-type]
+        build_candidate("other", **second),  # type: ignore[arg-type]
+    ]
+    upstream = choose("home", candidates, 0.01, 1.0)
+    assert upstream is not None
+    assert upstream.name == chosen
+
+
+def test_moves_stay_within_the_byte_budget() -> None:
+    """Guards against exceptions that are made faster than they can be replicated."""
+    candidates = [build_candidate("home", waiting=9), build_candidate("other")]
+    choose = placement.build_policy(CONFIG, lambda: 0)
+    moved = 0
+    for step in range(60 * 500):
+        upstream = choose("home", candidates, 0.01, step / 500)
+        moved += upstream is not None and upstream.name == "other"
+    allowed = 70 * CONFIG.replication_bytes_per_s * placement.DEFLECTION_SHARE
+    assert 0.9 * allowed < moved * placement.DEFLECTION_BYTES <= allowed
+    choose = placement.build_policy(CONFIG, lambda: 10_000)
+    assert choose("home", candidates, 0.01, 0.0) is candidates[0].upstream
+
+
+@pytest.mark.parametrize(
+    ("policy", "chosen"),
+    [(placement.choose_first, "other"), (placement.choose_home, None)],
+)
+def test_variants_without_a_load_measure(
+    policy: placement.Policy, chosen: str | None
+) -> None:
+    """Guards against a deflection of openings that carry requests."""
+    candidates = [build_candidate("other", waiting=9), build_candidate("third")]
+    upstream = policy("home", candidates, 0.01, 1.0)
+    assert (upstream and upstream.name) == chosen
+
+
+@pytest.mark.parametrize("connections", [0, 1, 7, 8, 1_001])
+def test_limit_shares_add_up(connections: int) -> None:
+    """Guards against a fleet that exceeds or wastes a row's limit."""
+    capacities = {f"balancer-{n}": size for n, size in enumerate((1, 2, 0.5, 1.3, 1))}
+    shares = [
+        load.compute_limit_share(connections, name, capacities) for name in capacities
+    ]
+    assert sum(shares) == connections
+    for share, capacity in zip(shares, capacities.values(), strict=True):
+        assert abs(share - connections * capacity / 5.8) <= 1
+
+
+def test_old_latency_is_replaced() -> None:
+    """Guards against a recovered upstream that is avoided for its old latency."""
+    status = load.Load()
+    status.record_request(0.0)
+    status.record_response(1.0, 1.0)
+    assert load.score_load(status, 0.01, 2.0) == 1.0
+    assert load.score_load(status, 0.01, 20.0) == 0.01
+    status.record_request(30.0)
+    status.record_response(0.02, 30.0)
+    assert load.score_load(status, 0.01, 30.0) == 0.02
+
+
+def test_only_flows_of_the_changed_row_move() -> None:
+    """Guards against an edit that changes homes of unrelated flows."""
+    edited = fleets.replace_row(TABLE, 1, weight=0.5)
+    old, new = map(generations.prepare_generation, (TABLE, edited))
+    change = generations.compare_generations(old, new)
+    back = generations.compare_generations(new, old)
+    changed = TABLE.rows[1].upstream
+    for number in range(500):
+        key = b"flow-%d" % number
+        homes = [generations.find_home(table, key) for table in (old, new)]
+        assert homes[0] == homes[1] or homes[0] == changed
+        assert homes[0] == hashing.rank_choices(key, old.choices)[0]
+        for difference, (before, after) in ((change, homes), (back, homes[::-1])):
+            if generations.keeps_home(difference, key, before or ""):
+                assert before == after
+            else:
+                assert before == changed or before != after
+
+
+def test_generations_are_kept_and_selected_by_version() -> None:
+    """Guards against a lost generation that established flows still depend on."""
+    kept = generations.Generations(3)
+    for version in (2, 3, 5, 5, 4, 9):
+        kept.add(TABLE._replace(version=version))
+    assert [generation.version for generation in kept.kept] == [3, 5, 9]
+    selected = {n: kept.select_through(n).version for n in (0, 3, 4, 9, 12)}
+    assert selected == {0: 3, 3: 3, 4: 5, 9: 9, 12: 9}
+
+
+def test_score_of_the_highest_digest_is_finite(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a division by zero for a digest that rounds to 1.0."""
+    choices = [hashing.Choice("one", 1.0)]
+    digest = 2**64 - 1
+    monkeypatch.setattr(xxhash, "xxh3_64_intdigest", lambda *_: digest)
+    assert hashing.find_best(b"key", choices) == "one"
+    assert math.isfinite(hashing.score_choice(b"key", choices[0]))
+
+
+class Outage:
+    """A fleet of one node whose upstreams answer only while they are alive."""
+
+    def __init__(self, hosts: int = 4) -> None:
+        table = builders.build_table(fleets.SERVICE, hosts)
+        self.names = [row.upstream for row in table.rows]
+        self.fleet = fleets.Fleet(table, flow_idle_s=600.0)
+        self.alive = set(self.names)
+        self.count = 0
+        self.recent: list[str] = []
+
+    def run(self, seconds: float, rate: int = 10) -> dict[str, str]:
+        """Open flows for a while and return the health states."""
+        self.recent = []
+        for _ in range(round(seconds * 10)):
+            for _ in range(rate // 10):
+                self.count += 1
+                packet = fleets.build_opening(self.count)
+                _, action = self.fleet.send(fleets.FIRST, packet)
+                assert isinstance(action, events.SendUpstream)
+                self.recent.append(action.upstream)
+                if action.upstream in self.alive:
+                    self.answer(action.upstream, action.port)
+            # A few established flows send requests too.
+            for number in range(max(1, self.count - 10), self.count):
+                packet = fleets.build_data(number)
+                _, action = self.fleet.send(fleets.FIRST, packet)
+                assert isinstance(action, events.SendUpstream)
+                if action.upstream in self.alive:
+                    self.answer(action.upstream, action.port)
+            self.fleet.advance(0.1)
+        return self.read_states()
+
+    def answer(self, upstream: str, port: int) -> None:
+        """Let an upstream send a packet to a flow."""
+        packet = events.UpstreamPacket(fleets.SERVICE, upstream, port)
+        self.fleet.handle(fleets.FIRST, packet)
+
+    def probe(self, upstream: str, ok: bool, draining: bool = False) -> None:
+        """Report a probe result."""
+        probe = events.ProbeReported(fleets.SERVICE, upstream, ok, draining, 0.5)
+        self.fleet.handle(fleets.FIRST, probe)
+
+    def read_states(self) -> dict[str, str]:
+        """Return the health state of each upstream."""
+        pool = self.fleet.nodes[fleets.FIRST].services[fleets.SERVICE].pool
+        return {name: pool.upstreams[name].health.state for name in self.names}
+
+
+def test_silent_upstream_is_ejected_and_recovers_slowly() -> None:
+    """Guards against flows on a dead host, and against a rush on a cold one."""
+    outage = Outage()
+    outage.run(2.0, 50)
+    dead = outage.names[0]
+    outage.alive.remove(dead)
+    outage.run(6.0, 50)
+    assert outage.read_states()[dead] == "ejected"
+    outage.alive.add(dead)
+    outage.run(3.0, 50)
+    assert outage.read_states()[dead] == "recovering"
+    outage.run(2.0, 50)
+    early = outage.recent.count(dead)
+    outage.run(12.0, 50)
+    assert outage.read_states()[dead] == "healthy"
+    outage.run(2.0, 50)
+    assert early < 0.5 * outage.recent.count(dead)
+
+
+def test_one_silent_flow_is_no_evidence() -> None:
+    """Guards against an upstream ejected for one caller's dead connection."""
+    outage = Outage()
+    outage.fleet.open([0])
+    outage.fleet.send(fleets.FIRST, fleets.build_data(0))
+    outage.fleet.advance(20.0)
+    assert set(outage.read_states().values()) == {"healthy"}
+
+
+def test_host_that_responds_survives_failed_probes() -> None:
+    """Guards against ejection on a misleading health endpoint."""
+    outage = Outage()
+    for _ in range(10):
+        outage.run(1.0, 50)
+        outage.probe(outage.names[0], False)
+    assert outage.read_states()[outage.names[0]] == "healthy"
+    outage.fleet.advance(20.0)
+    for _ in range(4):
+        outage.probe(outage.names[0], False)
+    assert outage.read_states()[outage.names[0]] == "ejected"
+
+
+def test_half_of_the_weight_is_never_ejected() -> None:
+    """Guards against an empty pool when this balancer's own network fails."""
+    outage = Outage()
+    outage.run(1.0, 50)
+    outage.alive.clear()
+    most = 0
+    for _ in range(60):
+        most = max(most, list(outage.run(0.5).values()).count("ejected"))
+    assert most == 2
+    for name in outage.names:
+        for _ in range(9):
+            outage.probe(name, False)
+    assert list(outage.read_states().values()).count("ejected") <= 2
+
+
+def test_draining_upstream_gets_no_new_flow() -> None:
+    """Guards against new work for a leaving host, also when others are ejected."""
+    outage = Outage(2)
+    leaving, other = outage.names
+    outage.probe(leaving, True, draining=True)
+    outage.run(2.0)
+    assert set(outage.recent) == {other}
+    for _ in range(9):
+        outage.probe(other, False)
+    outage.run(1.0)
+    assert set(outage.recent) == {other}
+    outage.probe(leaving, True)
+    outage.run(2.0)
+    assert leaving in outage.recent
+
+
+def test_old_wait_is_not_load() -> None:
+    """Guards against a host avoided for connections that went silent for good."""
+    outage = Outage(1)
+    outage.run(1.0, 50)
+    outage.alive.clear()
+    outage.run(0.5, 50)
+    pool = outage.fleet.nodes[fleets.FIRST].services[fleets.SERVICE].pool
+    assert pool.upstreams[outage.names[0]].load.waiting > 20
+    outage.fleet.advance(45.0)
+    assert pool.upstreams[outage.names[0]].load.waiting == 0
