--- a/src/pistachioshed/core/service.py
+++ b/src/pistachioshed/core/service.py
@@ -21,6 +21,7 @@
 # After a pause of this process flows look idle until their next packet arrives.
 PAUSE_S: typing.Final = 1.0
 PAUSE_GRACE_S: typing.Final = 5.0
+WAIT_MAX_S: typing.Final = 30.0
 EXPIRY_TICKS: typing.Final = 50
 EXPIRY_STEPS_MIN: typing.Final = 100
 
@@ -177,16 +178,17 @@
     def _choose(self, key: bytes, settled: bool, now: float) -> flows.Upstream | None:
         ranked = hashing.rank_choices(key, self.generations.newest.choices)
         candidates = self.pool.list_candidates(key, ranked, now)
+        home = ranked[0] if ranked else None
         if not settled and not self.config.openings_carry_requests:
-            # The previous owner may have placed an earlier copy of this opening.
-            placed = self.exceptions.find(self.name, key)
+            # The previous owner may have placed an earlier copy of this opening, on
+            # its home unless it is an exception.
+            placed = self.exceptions.find(self.name, key) or home
             for candidate in candidates:
                 if candidate.upstream.name == placed:
                     return candidate.upstream
         typical_s = load.compute_typical_latency(
             (candidate.upstream.load for candidate in candidates), now
         )
-        home = ranked[0] if ranked else None
         return self.policy(home, candidates, typical_s, now)
 
     def _find_established(
@@ -233,8 +235,16 @@
         taken = 0
         for flow in itertools.islice(self._expiring, steps):
             taken += 1
-            if flow is not None and flow.seen < oldest:
+            if flow is None:
+                continue
+            if flow.seen < oldest:
                 self.close_flow(flow.key, now)
+            elif flow.asked_at is not None and now - flow.asked_at > WAIT_MAX_S:
+                # A connection that went silent for good is neither the upstream's
+                # load nor, when it asks again, one more silent flow.
+                flows.end_wait(flow)
+                status = flow.upstream.load
+                status.unheard = max(0, status.unheard - 1)
         if taken < steps:
             self._expiring = self._walk_flows()
 
