Test creation races, damaged values and a watch's second address

Change: tests for them; a damaged value read after a lost answer is reported as an unknown outcome; the unused check for repeated refusals is gone.

--- a/src/pistachioshed/operations/audit.py
+++ b/src/pistachioshed/operations/audit.py
@@ -197,8 +197,6 @@
     try:
         for _ in range(REFUSAL_ATTEMPTS):
             earlier, mod_revision = await _read_refusals(store, refusal.service)
-            if any(other.edit_id == refusal.edit_id for other in earlier):
-                return True
             kept = (bounded, *earlier)[:KEPT_REFUSALS]
             unchanged = store_port.Compare(key, "mod", mod_revision)
             put = store_port.Put(key, msgspec.json.encode(kept))
--- a/src/pistachioshed/operations/commits.py
+++ b/src/pistachioshed/operations/commits.py
@@ -71,7 +71,7 @@
         except store_port.AnswerLost as error:
             lost = error
             continue
-        except store_port.StoreError as error:
+        except (store_port.StoreError, documents.DocumentError) as error:
             if lost is None:
                 raise
             raise rules.OutcomeUnknown(service, edit_id, lost) from error
--- a/src/pistachioshed/operations/edits.py
+++ b/src/pistachioshed/operations/edits.py
@@ -194,11 +194,7 @@
     author: commits.Author,
     upstreams: abc.Iterable[str] = (),
 ) -> abc.AsyncIterator[None]:
-    """Record the refusal of an edit that is tried in the context.
-
-    A refusal that passes several contexts is recorded by the innermost, which knows
-    most about the edit.
-    """
+    """Record the refusal of an edit that is tried in the context."""
     try:
         yield
     except (rules.EditConflict, rules.EditRefused, ExceptionGroup) as error:
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -165,6 +165,18 @@
     assert (table.version, table.edit_id) == (2, "a")
 
 
+@pytest.mark.parametrize("fault", ["lose_answers", "drop_writes"])
+def test_lost_answer_of_a_creation_is_resolved(fault: str) -> None:
+    """Guards against "exists already" for the service that the command created."""
+    fixture = fakes.StoreFixture()
+    fixture.set_faults(**{fault: 1})
+    edit = tables.Edit("a", (builders.build_row("booking", 1),))
+    for outcome in ("created", "replayed"):
+        created = edits.create_table(fixture.store, "booking", edit, AUTHOR)
+        assert fixture.run(created).outcome == outcome
+    assert read_table(fixture).version == 1
+
+
 def test_late_write_does_not_revert_a_later_edit(fixture: fakes.StoreFixture) -> None:
     """Guards against a lost write that lands after its sender gave up."""
     fixture.set_faults(late_writes=8, late_seconds=5.0)
@@ -242,6 +254,16 @@
     assert caught.value.upstreams == ("x",)
 
 
+def test_address_is_compared_in_all_its_forms() -> None:
+    """Guards against one host under two spellings in two services."""
+    short = tables.Row("a", "[::1]:9", "riga-a")
+    other = tables.Table("sheets", 1, (short,))
+    added = [short._replace(address="[0:0:0:0:0:0:0:1]:9")]
+    with pytest.raises(rules.EditRefused):
+        rules.check_addresses("booking", added, [other])
+    rules.check_addresses("sheets", added, [other])
+
+
 def test_audit_is_bounded(
     fixture: fakes.StoreFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -277,6 +299,9 @@
     with pytest.raises(rules.EditConflict) as caught:
         fixture.run(imports.apply_sheet(fixture.store, "booking", both, "c", OTHER))
     assert "booking-2" in caught.value.upstreams
+    newer = both._replace(version=99)
+    with pytest.raises(rules.EditRefused, match="made from version 99"):
+        fixture.run(imports.apply_sheet(fixture.store, "booking", newer, "d", OTHER))
 
 
 @pytest.mark.parametrize("seed", range(8))
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -153,6 +153,19 @@
     assert not fixture.state.watchers
 
 
+def test_watch_moves_to_another_address() -> None:
+    """Guards against a watch that stays with a dead store address."""
+    fixture = fakes.StoreFixture(["127.0.0.1:1", "127.0.0.1:2"])
+    fixture.agent.refused.add("127.0.0.1:1")
+    batches: list[store.WatchBatch] = []
+    watch = fixture.store.watch("/t/", 1, batches.append)
+    fixture.advance(2.0)
+    assert fixture.agent.asked == ["127.0.0.1:1", "127.0.0.1:2"]
+    put(fixture, "/t/a")
+    assert list_events(batches) == [("/t/a", 2)]
+    watch.stop()
+
+
 def test_idle_watch_stays_open() -> None:
     """Guards against a working watch that is closed as if it were silent."""
     fixture = fakes.StoreFixture()
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -1,5 +1,6 @@
 """Whole sessions of the operators' command line."""
 
+import os
 import pathlib
 import subprocess
 import sys
@@ -173,6 +174,7 @@
     type_all(session, "versions booking", "versions booking --wait --timeout 2")
     fixture.clock.callLater(3.0, lambda: fixture.start(write("riga-b", lb3=4)))
     session.type("versions booking --wait")
+    assert fixture.clock.seconds() < 10.0
     assert type_all(session, "versions booking --json") == snapshot
 
 
@@ -195,10 +197,38 @@
     assert session.fixture.run(write({"no such fault": 1})) == 500
 
 
+def test_damaged_values(
+    session: sessions.Session, snapshot: syrupy.assertion.SnapshotAssertion
+) -> None:
+    """Guards against a damaged value that reaches operators as a table."""
+    type_all(session, *ADD_BOOTHS, "create sheets")
+    session.transcript.clear()
+    store, keys = session.fixture.store, "/pistachioshed/"
+    table = session.fixture.run(store.get(f"{keys}tables/booking")).pair
+    assert table is not None
+    faulty = table.value.replace(b'"slots":2', b'"slots":0')
+    for key, value, command in (
+        ("tables/sheets", table.value, "show sheets"),
+        ("tables/booking", b"{}", "show booking"),
+        ("tables/booking", faulty, "drain booking booking-1"),
+        ("tables/booking", table.value, "show booking --json"),
+        ("audit/booking/0000000002", b"[]", "audit booking"),
+        ("audit/booking/0000000002", b'{"service":1}', "audit booking"),
+        ("status/riga-a", b'{"zone":"riga-a"}', "versions booking"),
+    ):
+        put = store_port.Put(keys + key, value)
+        session.fixture.run(store.transact([], [put]))
+        session.type(command)
+    assert type_all(session) == snapshot
+
+
 def test_command_of_a_real_process(tmp_path: pathlib.Path) -> None:
     """Guards against a command that works only with the in-memory store."""
     command = [sys.executable, "-m", "standins.store", "--address", "127.0.0.1:0"]
-    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+    paths = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, text=True, env=paths
+    ) as process:
         try:
             assert process.stdout is not None
             address = process.stdout.readline().split()[-1]
@@ -213,6 +243,7 @@
                     capture_output=True,
                     text=True,
                     timeout=30,
+                    env=paths,
                 )
                 for path, line in (
                     (settings, "create booking"),
