Skip idle channels on a tick; add control figures

At 50 nodes most of a tick went into channels with nothing to send. The tool tools/control_figures.py prints control bytes, detection times and bytes per exception from the in-memory network.

--- a/src/pistachioshed/core/channel.py
+++ b/src/pistachioshed/core/channel.py
@@ -63,6 +63,12 @@
         self.is_opened = False
         self.sent_at = float("-inf")
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits and nothing is in flight."""
+        waits = self.flight or self.urgent or self.bulks or self.removals
+        return self.is_opened and not waits
+
     @property
     def queued(self) -> int:
         """The number of items that wait: exceptions, removals, marks, the opening."""
--- a/src/pistachioshed/core/inbox.py
+++ b/src/pistachioshed/core/inbox.py
@@ -116,17 +116,17 @@
 
         By then every flow still in use has reached its new owner, which bound it.
         """
-        expired = [
-            owner
-            for owner, source in self.sources.items()
-            if self._is_expired(source, now)
-        ]
-        dropped = {id(self.sources[owner]) for owner in expired}
-        dropped |= {id(run) for run in self.retired if self._is_expired(run, now)}
+        runs = [*self.sources.values(), *self.retired]
+        dropped = {
+            id(run)
+            for run in runs
+            if run.gone_at is not None and now >= run.gone_at + self.idle_s
+        }
         if not dropped:
             return
-        for owner in expired:
-            del self.sources[owner]
+        self.sources = {
+            owner: run for owner, run in self.sources.items() if id(run) not in dropped
+        }
         self.retired = [run for run in self.retired if id(run) not in dropped]
         for service, flows in self.received.items():
             self.received[service] = {
@@ -136,9 +136,6 @@
             }
         self.count = sum(len(flows) for flows in self.received.values())
 
-    def _is_expired(self, source: Source, now: float) -> bool:
-        return source.gone_at is not None and now >= source.gone_at + self.idle_s
-
     def _get_source(self, owner: str, session: int, now: float) -> Source | None:
         """Return an owner's session, a new one if needed, None if it has ended."""
         source = self.sources.get(owner)
--- a/src/pistachioshed/core/membership.py
+++ b/src/pistachioshed/core/membership.py
@@ -287,15 +287,9 @@
         self.is_view_stale = False
         owners = self.roster.list_owners()
         members = tuple(
-            Member(name, self._find_zone(name), owners[name].capacity / 1_000)
+            Member(name, self.roster.find_zone(name), owners[name].capacity / 1_000)
             for name in sorted(owners)
         )
         if members != self.view.members:
             self.view = View(self.view.number + 1, members)
             self.changed_at = now
-
-    def _find_zone(self, name: str) -> str:
-        if name == self.settings.name:
-            return self.settings.zone
-        vm = self.roster.listed.get(name)
-        return vm.zone if vm is not None else ""
--- a/src/pistachioshed/core/records.py
+++ b/src/pistachioshed/core/records.py
@@ -70,6 +70,7 @@
 
     def __init__(self, settings: settings.Settings) -> None:
         self.name = settings.name
+        self.zone = settings.zone
         self.seeds = frozenset(settings.seeds)
         self.listed: dict[str, events.Vm] = {}
         self.members: dict[str, Record] = {}
@@ -99,6 +100,13 @@
             if name not in self.members or self.members[name].claim.condition == DEAD
         }
 
+    def find_zone(self, name: str) -> str:
+        """Return a member's zone, "" if the VM list does not have the member."""
+        if name == self.name:
+            return self.zone
+        vm = self.listed.get(name)
+        return vm.zone if vm is not None else ""
+
     def list_owners(self) -> dict[str, wire.Claim]:
         """Return the claims of the active members, this node included."""
         owners = {
--- a/src/pistachioshed/core/sender.py
+++ b/src/pistachioshed/core/sender.py
@@ -102,8 +102,10 @@
     def send_due(self, now: float) -> list[wire.Outgoing]:
         """Return the batches that are due, those of the longest waiting peer first."""
         out: list[wire.Outgoing] = []
+        busy = [name for name, peer in self.channels.items() if not peer.is_idle]
+        busy.sort(key=self._get_sent_at)
         for is_urgent in (True, False):
-            for name in sorted(self.channels, key=self._get_sent_at):
+            for name in busy:
                 if self.is_urgent(name, now) is not is_urgent:
                     continue
                 out += self._repeat_batch(name, now)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -58,6 +58,25 @@
         assert after == [(number + changes, same) for number, same in before]
 
 
+def test_own_pause_is_no_evidence() -> None:
+    """Guards against a resumed node that takes its own silence for that of others."""
+    member = membership.Membership(settings.Settings("entry-000", "zone-0"), 1)
+    member.update_vms([events.Vm("entry-001", "zone-0", "")], 0.0)
+    claim = wire.Claim(1, records.ACTIVE, records.ALIVE, 1_000)
+    member.handle("entry-001", wire.Gossip(claim), 0.0)
+    held = member.roster.members["entry-001"]
+    member.tick(0.1)
+    assert member.prober.target == "entry-001"
+    member.tick(5.0)
+    assert held.claim.condition == records.ALIVE
+    for tick in range(60):
+        member.tick(5.0 + 0.1 * tick)
+        if held.claim.condition == records.SUSPECT:
+            break
+    member.tick(20.0)
+    assert held.claim.condition == records.SUSPECT
+
+
 def test_healed_partition_rejoins() -> None:
     """Guards against halves of the fleet that never find each other again."""
     network = fakes.Network(4, 8)
--- /dev/null
+++ b/tools/control_figures.py
@@ -0,0 +1,112 @@
+"""Measure control traffic, detection times and bytes per exception in memory."""
+
+import itertools
+import statistics
+import sys
+import typing
+from collections import abc
+
+from pistachioshed.core import hashing
+from tests import fakes
+
+SERVICE: typing.Final = "booking"
+SEEDS: typing.Final = 24
+IDLE_S: typing.Final = 30.0
+
+
+def build_network(seed: int, count: int) -> fakes.Network:
+    """Return a fleet that went through its joins one after the other."""
+    network = fakes.Network(seed, count)
+    for peer in network.start_all(0.0):
+        # A fleet that starts at once piggybacks every member's changes for a while.
+        peer.lifecycle.machine.activate(0.0)
+    network.run(5.0)
+    for peer in network.peers.values():
+        peer.membership.spreader.sends_left.clear()
+    return network
+
+
+def measure_idle(count: int) -> float:
+    """Return the bytes per second that a node sends while nothing changes."""
+    network = build_network(1, count)
+    network.sent_bytes.clear()
+    network.run(IDLE_S)
+    return sum(network.sent_bytes.values()) / IDLE_S / count
+
+
+def measure_death(seed: int, count: int) -> tuple[float, float]:
+    """Return the seconds until the first and the last node removed a dead one."""
+    network = build_network(seed, count)
+    network.run(network.rng.random())
+    died_at = network.now
+    del network.peers["entry-001"]
+    rest = tuple(network.peers)
+    network.run(30.0, lambda: network.agree(rest, rest))
+    times = [peer.membership.changed_at - died_at for peer in network.peers.values()]
+    return min(times), max(times)
+
+
+def measure_spread(seed: int, count: int) -> float:
+    """Return the seconds from an announcement to the last node's change of view."""
+    network = build_network(seed, count)
+    network.run(network.rng.random())
+    leaver = network.peers["entry-001"]
+    leaver.membership.announce("leaving", network.now)
+    rest = tuple(name for name in network.peers if name != "entry-001")
+    announced_at = network.now
+    network.run(30.0, lambda: network.agree(rest, rest))
+    return max(network.peers[n].membership.changed_at for n in rest) - announced_at
+
+
+def measure_exceptions(per_s: float, duration_s: float) -> tuple[float, float, int]:
+    """Return bytes per exception, acknowledgements included, bytes/s and the backlog.
+
+    One node of 8 puts exceptions of 7 upstreams at a steady rate.
+    """
+    network = build_network(1, 8)
+    network.sent_bytes.clear()
+    replicator = network.peers["entry-000"].replicator
+    flows = itertools.count()
+    count = 0
+    for tick in range(int(duration_s / fakes.TICK_S)):
+        while count < per_s * (tick + 1) * fakes.TICK_S:
+            flow = hashing.hash_name(str(next(flows))).to_bytes(8, "big")[:6]
+            replicator.put(SERVICE, flow, f"booking-{count % 7}")
+            count += 1
+        network.run(fakes.TICK_S)
+    pending = replicator.pending()
+    total = sum(
+        size for (_, kind), size in network.sent_bytes.items() if kind == "replication"
+    )
+    own = network.sent_bytes["entry-000", "replication"]
+    return total / max(1, count - pending), own / duration_s, pending
+
+
+def describe(values: abc.Iterable[float]) -> str:
+    """Return the median and the range."""
+    ordered = sorted(values)
+    middle = statistics.median(ordered)
+    return f"median {middle:.2f} s, {ordered[0]:.2f} to {ordered[-1]:.2f} s"
+
+
+def main() -> int:
+    """Print all figures."""
+    for count in (8, 50, 200):
+        print(f"idle, {count} nodes: {measure_idle(count):.0f} bytes/s per node")
+    for count, seeds in ((8, SEEDS), (50, SEEDS)):
+        deaths = [measure_death(seed, count) for seed in range(seeds)]
+        print(f"death, {count} nodes, first: {describe(first for first, _ in deaths)}")
+        print(f"death, {count} nodes, last: {describe(last for _, last in deaths)}")
+        spreads = [measure_spread(seed, count) for seed in range(seeds)]
+        print(f"state change, {count} nodes, last: {describe(spreads)}")
+    for per_s in (5.0, 20.0, 100.0, 400.0):
+        size, rate, pending = measure_exceptions(per_s, 60.0)
+        print(
+            f"{per_s:.0f} exceptions/s: {size:.1f} bytes each, "
+            f"{rate:.0f} bytes/s sent, {pending} pending after 60 s"
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
