--- a/tools/controlplane.py
+++ b/tools/controlplane.py
@@ -163,7 +163,7 @@
             If it does not succeed in time.
         """
         command = [sys.executable, "-m", "pistachioshed.apps.operator"]
-        command += ["--settings", str(self.settings), "--json", *arguments]
+        command += ["--settings", str(self.settings), *arguments, "--json"]
         done = subprocess.run(
             command,
             capture_output=True,
