Replicate new exceptions at once and keep them across edits

The node now sends them with the opening, while an eighth of the byte budget is left. A flow that an edit brought to its home lost its exception before all peers had the new table; an exception now lasts until the flow ends, and openings soon after an edit are exceptions if their home changed.

--- a/src/pistachioshed/core/node.py
+++ b/src/pistachioshed/core/node.py
@@ -156,7 +156,11 @@
             settled = now - changed_at >= self.config.settle_s
             bound = state.open_flow(event.flow, event.opening_id, settled, now)
         if isinstance(bound, flows.Flow):
-            return self._forward(event, bound, now)
+            actions = self._forward(event, bound, now)
+            if bound.moved:
+                # The backup has the exception before the caller has the response.
+                actions += self.peering.send_exceptions(now)
+            return actions
         if isinstance(bound, events.DropPacket):
             return self._drop(bound.reason)
         return [bound]
--- a/src/pistachioshed/core/replication.py
+++ b/src/pistachioshed/core/replication.py
@@ -155,6 +155,11 @@
                     )
         return []
 
+    def send_exceptions(self, now: float) -> list[wire.Outgoing]:
+        """Return the batches that are due right after an exception was put."""
+        self.sender.refill(now)
+        return self.sender.send_due(now)
+
     def tick(self, now: float) -> list[wire.Outgoing]:
         """Return the batches that are due within the budget."""
         self.sender.refill(now)
--- a/src/pistachioshed/core/sender.py
+++ b/src/pistachioshed/core/sender.py
@@ -8,6 +8,8 @@
 # After a batch a peer's exceptions are gathered this long: at 8 nodes and a few
 # exceptions per second, headers would otherwise take up most of the budget.
 GATHER_S: typing.Final = 0.5
+# Below this share of the budget's burst, exceptions are gathered too.
+GATHER_SHARE: typing.Final = 1 / 8
 RETRANSMIT_S: typing.Final = 0.5
 # Handover before a join and flush before a leave run outside the budget, at this
 # multiple of it (60 kB/s by default): the join or leave waits for them, and flows
@@ -127,8 +129,8 @@
         if (ack.session, ack.number) != (batch.session, batch.number):
             return []
         peer.flight = None
-        # Within the normal budget the next batch waits for a tick, and its turn.
-        is_next = self.is_urgent(name, now) and self._is_due(name, now)
+        # Other batches wait for a tick, and their turn.
+        is_next = self._is_hurried(name, now) and self._is_due(name, now)
         if not is_next or not self._is_affordable(name, now):
             return []
         return [self._send_batch(name, now)]
@@ -153,7 +155,17 @@
             return False
         is_full = self._estimate_size(peer) >= channel.MAX_BATCH_BYTES
         has_gathered = now >= peer.sent_at + GATHER_S
-        return is_full or has_gathered or self.is_urgent(name, now)
+        return is_full or has_gathered or self._is_hurried(name, now)
+
+    def _is_hurried(self, name: str, now: float) -> bool:
+        """Tell whether a peer's next batch need not gather.
+
+        Until its exception arrives, a flow breaks if this node dies. The removal of an
+        exception can wait.
+        """
+        has_exceptions = bool(self.channels[name].urgent)
+        is_spare = self.bucket.tokens > self.bucket.burst * GATHER_SHARE
+        return (has_exceptions and is_spare) or self.is_urgent(name, now)
 
     def _is_affordable(self, name: str, now: float) -> bool:
         size = min(self._estimate_size(self.channels[name]), channel.MAX_BATCH_BYTES)
--- a/src/pistachioshed/core/service.py
+++ b/src/pistachioshed/core/service.py
@@ -44,6 +44,9 @@
     def close_generation(self, service: str, version: int) -> None:
         """Mark this owner's exceptions complete under a version."""
 
+    def pending(self) -> int:
+        """Return how many exceptions and marks the peers did not confirm."""
+
 
 class Service:
     """State and decisions of one service; isolated from all other services.
@@ -74,6 +77,7 @@
         self.clock = 0.0
         self.expire_from = 0.0
         self._change: generations.Change | None = None
+        self._recent: list[generations.Generation] = []
         self._moving: abc.Iterator[flows.Flow | None] | None = None
         self._expiring: abc.Iterator[flows.Flow | None] = iter(())
 
@@ -86,6 +90,8 @@
         self._change = None
         # Until the last change is worked through, some flows are marked by an older
         # table and the difference to the previous one does not apply to them.
+        self._recent.insert(0, self.generations.newest)
+        del self._recent[self.config.generations_kept :]
         if previous is not None and self._moving is None:
             self._change = generations.compare_generations(
                 previous, self.generations.newest
@@ -153,6 +159,9 @@
         self.table.superseded.forget(now)
         self._expire_flows(now)
         self._mark_flows()
+        is_settled = now - self.changed_at >= self.config.settle_s
+        if is_settled and self._moving is None and not self.exceptions.pending():
+            del self._recent[1:]
         return self.pool.review(now)
 
     def count_active(self, since: float) -> int:
@@ -216,13 +225,19 @@
         return flow
 
     def _mark_moved(self, flow: flows.Flow) -> None:
-        home = generations.find_home(self.generations.newest, flow.key)
-        moved = home != flow.upstream.name
-        if moved and not flow.moved:
-            self.exceptions.put(self.name, flow.key, flow.upstream.name)
-        elif flow.moved and not moved:
-            self.exceptions.remove(self.name, flow.key)
-        flow.moved = moved
+        """Make a flow an exception unless all peers find it by its home.
+
+        While some peers may not know the newest table, or that it is worked through
+        here, a flow has to be at its home in the table before too. An exception stays
+        one until the flow ends: its removal could arrive before the newest table.
+        """
+        if flow.moved:
+            return
+        for generation in self._recent:
+            if generations.find_home(generation, flow.key) != flow.upstream.name:
+                flow.moved = True
+                self.exceptions.put(self.name, flow.key, flow.upstream.name)
+                return
 
     def _walk_flows(self) -> abc.Iterator[flows.Flow | None]:
         return flows.walk_flows(tuple(self.pool.upstreams.values()))
