Fall back to the older table when a version was skipped

The owner had marked its exceptions complete through version 2; select_through picked version 3, an edit that the owner never had, and the flow reached booking-2 instead of booking-6. Ruled out: the exception lost (the flow was none at the owner), the flush incomplete (complete mark 2 was there).

--- a/src/pistachioshed/core/generations.py
+++ b/src/pistachioshed/core/generations.py
@@ -78,6 +78,24 @@
         self.kept.append(prepare_generation(table))
         return True
 
+    def lacks(self, version: int) -> bool:
+        """Tell whether a version below the newest is missing and would be kept."""
+        versions = [generation.version for generation in self.kept]
+        if not versions or version in versions or version >= versions[-1]:
+            return False
+        return len(versions) < (self.kept.maxlen or 0) or version > versions[0]
+
+    def recall(self, table: tables.Table) -> None:
+        """Keep a version that arrived after a higher one, without putting it in force.
+
+        Another owner may have placed flows by it.
+        """
+        if not self.lacks(table.version):
+            return
+        found = [*self.kept, prepare_generation(table)]
+        found.sort(key=lambda generation: generation.version)
+        self.kept = collections.deque(found, maxlen=self.kept.maxlen)
+
     def select_through(self, version: int) -> Generation:
         """Return the generation that places flows of an owner without exceptions.
 
@@ -85,13 +103,14 @@
         ----------
         version : int
             The newest version under which the owner listed all its exceptions, 0 if
-            there is none. Its other flows are at their home in that generation, or
-            in the oldest one kept if that is newer.
+            there is none. Its other flows are at their home in that generation. If
+            this node skipped it, the one before stands in, since most flows are
+            older than an edit; else the oldest one kept.
         """
-        for generation in self.kept:
-            if generation.version >= version:
+        for generation in reversed(self.kept):
+            if generation.version <= version:
                 return generation
-        return self.newest
+        return self.kept[0]
 
     def is_home_certain(self, key: bytes) -> bool:
         """Tell whether every generation agrees on a flow's home.
--- a/src/pistachioshed/core/node.py
+++ b/src/pistachioshed/core/node.py
@@ -217,6 +217,9 @@
         table = event.table
         state = self.services.get(table.service)
         if state is not None and table.version <= state.generations.newest.version:
+            is_missing = state.generations.lacks(table.version)
+            if is_missing and self._find_fault(table, state) is None:
+                state.generations.recall(table)
             return []
         if state is None:
             state = service.Service(
