--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -130,6 +130,22 @@
         fleet.edit(TABLE._replace(version=version, rows=TABLE.rows[:1]))
     places = [action.upstream for _, action in fleet.open(range(50)).values()]
     assert len(set(places)) > 3
+    assert [note.name for note in fleet.notices].count("table in force") == 1
+
+
+def test_released_port_is_reused_late() -> None:
+    """Guards against a late response that reaches the next caller on its port."""
+    table = TABLE._replace(rows=TABLE.rows[:1])
+    fleet = fleets.Fleet(table, ports_per_upstream=3)
+    ports = [action.port for _, action in fleet.open(range(2)).values()]
+    fleet.handle(fleets.FIRST, events.FlowClosed(fleets.SERVICE, b"flow-0"))
+    fleet.advance(4.0)
+    ports.append(fleet.open([2])[2][1].port)
+    assert len(set(ports)) == 3
+    fleet.handle(fleets.FIRST, events.FlowClosed(fleets.SERVICE, b"flow-1"))
+    assert fleet.open([3])[3][1].port == ports[0]
+    _, action = fleet.send(fleets.FIRST, fleets.build_opening(4))
+    assert isinstance(action, events.RefuseOpening)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -78,6 +78,7 @@
     assert 0.9 * allowed < moved * placement.DEFLECTION_BYTES <= allowed
     choose = placement.build_policy(CONFIG, lambda: 10_000)
     assert choose("home", candidates, 0.01, 0.0) is candidates[0].upstream
+    assert choose("full", candidates, 0.01, 0.0) is candidates[1].upstream
 
 
 @pytest.mark.parametrize(
@@ -228,8 +229,9 @@
     outage = Outage()
     outage.fleet.open([0])
     outage.fleet.send(fleets.FIRST, fleets.build_data(0))
-    outage.fleet.advance(20.0)
-    assert set(outage.read_states().values()) == {"healthy"}
+    for _ in range(20):
+        outage.fleet.advance(1.0)
+        assert set(outage.read_states().values()) == {"healthy"}
 
 
 def test_host_that_responds_survives_failed_probes() -> None:
@@ -237,8 +239,9 @@
     outage = Outage()
     for _ in range(10):
         outage.run(1.0, 50)
-        outage.probe(outage.names[0], False)
-    assert outage.read_states()[outage.names[0]] == "healthy"
+        for _ in range(5):
+            outage.probe(outage.names[0], False)
+        assert outage.read_states()[outage.names[0]] == "healthy"
     outage.fleet.advance(20.0)
     for _ in range(4):
         outage.probe(outage.names[0], False)
@@ -260,6 +263,22 @@
     assert list(outage.read_states().values()).count("ejected") <= 2
 
 
+def test_ejected_rows_serve_when_no_other_is_left() -> None:
+    """Guards against an empty pool after an edit that drains the healthy rows."""
+    outage = Outage()
+    for name in outage.names[:2]:
+        for _ in range(9):
+            outage.probe(name, False)
+    outage.run(1.0)
+    assert set(outage.recent) <= set(outage.names[2:])
+    table = outage.fleet.table
+    for index in (2, 3):
+        table = fleets.replace_row(table, index, state="drain")
+    outage.fleet.edit(table)
+    outage.run(1.0)
+    assert set(outage.recent) <= set(outage.names[:2])
+
+
 def test_draining_upstream_gets_no_new_flow() -> None:
     """Guards against new work for a leaving host, also when others are ejected."""
     outage = Outage(2)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -38,6 +38,37 @@
     assert fleet.find_upstreams(FLOWS) == places
 
 
+@pytest.mark.parametrize("wait_s", [0.0, 0.1, 0.6, 2.0])
+@pytest.mark.parametrize("weight", [0.2, 5.0])
+def test_flows_survive_a_death_at_any_time_after_an_edit(
+    wait_s: float, weight: float
+) -> None:
+    """Guards against exceptions that are removed before the successor has the table.
+
+    Half of the flows are opened under the new table, just before the death.
+    """
+    fleet = fleets.Fleet(TABLE, 4)
+    places = {n: act.upstream for n, (_, act) in fleet.open(range(150)).items()}
+    fleet.advance(5.0)
+    fleet.edit(fleets.replace_row(TABLE, 2, weight=weight))
+    fleet.advance(wait_s)
+    places |= {n: act.upstream for n, (_, act) in fleet.open(range(150, 200)).items()}
+    del fleet.nodes["balancer-2"]
+    fleet.advance(4.0)
+    assert fleet.find_upstreams(range(200)) == places
+
+
+def test_exceptions_are_sent_with_the_opening() -> None:
+    """Guards against flows that break for a death soon after they opened."""
+    fleet = fleets.Fleet(TABLE, 4)
+    places = {n: act.upstream for n, (_, act) in fleet.open(range(120)).items()}
+    owner = fleet.nodes["balancer-2"]
+    assert any(f.moved for f in owner.services["booking"].table.flows.values())
+    del fleet.nodes["balancer-2"]
+    fleet.advance(4.0)
+    assert fleet.find_upstreams(range(120)) == places
+
+
 def test_flows_survive_a_death_while_an_edit_spreads() -> None:
     """Guards against the newest home for an owner that did not mark the new table."""
     fleet = fleets.Fleet(TABLE, 4)
@@ -79,6 +110,33 @@
     assert fleet.finished == [owner]
 
 
+@pytest.mark.parametrize("flushed", [True, False])
+def test_leaving_node_passes_packets_on(
+    flushed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a leave that ends late, or before its exceptions are known."""
+    fleet = fleets.Fleet(TABLE, 3)
+    number = next(
+        n for n, (owner, _) in fleet.open(range(50)).items() if owner == fleets.FIRST
+    )
+    (bound,) = fleet.handle(fleets.FIRST, fleets.build_data(number))
+    replicator = fleet.nodes[fleets.FIRST].peering.replicator
+    monkeypatch.setattr(replicator, "is_flushed", lambda: flushed)
+    fleet.handle(fleets.FIRST, events.StopRequested())
+    fleet.advance(0.5 if flushed else 5.5)
+    (direct,) = fleet.handle(fleets.FIRST, fleets.build_data(number))
+    assert isinstance(direct, events.SendOwner) == flushed
+    for peer in ("balancer-2", "balancer-3"):
+        relayed = events.RelayedPacket(peer, *fleets.build_data(number))
+        # The successor's own relay is served, so that the packet does not return.
+        is_passed_on = flushed and direct != events.SendOwner(peer)
+        (action,) = fleet.handle(fleets.FIRST, relayed)
+        assert action == (direct if is_passed_on else bound)
+    fleet.send(fleets.FIRST, fleets.build_data(number))
+    fleet.advance(4.0)
+    assert (fleet.finished == [fleets.FIRST]) == flushed
+
+
 def test_flows_survive_a_join() -> None:
     """Guards against a new owner that places established flows anew."""
     fleet = fleets.Fleet(TABLE, 3, spare=1)
