Let services take turns on a channel

A steady flow of new exceptions of one service held up the marks of every other service, whose successors then kept to an older generation's home.

--- a/src/pistachioshed/core/channel.py
+++ b/src/pistachioshed/core/channel.py
@@ -62,6 +62,7 @@
         self.flight: Flight | None = None
         self.session = 0
         self.is_opened = False
+        self.last_service = ""
         self.sent_at = float("-inf")
 
     @property
@@ -172,14 +173,25 @@
         if not self.removals:
             return False
         key = (service, fingerprint_flow(service, flow))
-        return self.removals.pop(key, self) is None
+        if key not in self.removals:
+            return False
+        del self.removals[key]
+        return True
 
     def _choose_service(self) -> str:
-        for service, _ in self.urgent:
-            return service
-        for service, _ in self.removals:
-            return service
-        return self.bulks[0].service if self.bulks else ""
+        """Return the service of the next batch, by turns if several wait.
+
+        Otherwise a steady flow of new exceptions of one service would hold up the
+        marks of all others.
+        """
+        waiting = [
+            *(service for service, _ in itertools.islice(self.urgent, 1)),
+            *(service for service, _ in itertools.islice(self.removals, 1)),
+            *(bulk.service for bulk in self.bulks),
+        ]
+        others = [service for service in waiting if service != self.last_service]
+        self.last_service = (others or waiting or [""])[0]
+        return self.last_service
 
     def _take_bulk(self, service: str, fits: typing.Callable[[bytes], bool]) -> int:
         """Take from the first bulk of a service; return the version it completes."""
--- a/src/pistachioshed/core/gossip.py
+++ b/src/pistachioshed/core/gossip.py
@@ -10,6 +10,7 @@
 # cost per change and node is the same at any fleet size.
 FANOUT: typing.Final = 3
 ROUNDS: typing.Final = 2
+# As in SWIM, an update is piggybacked this often times the logarithm of the members.
 RETRANSMIT_FACTOR: typing.Final = 3
 
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -149,6 +149,18 @@
     assert marks == [0, 2]
 
 
+def test_services_take_turns() -> None:
+    """Guards against marks of one service held up by new exceptions of another."""
+    queue = channel.Channel()
+    queue.close("sheets", 2)
+    versions = {}
+    for flow in FLOWS[:10]:
+        queue.add(SERVICE, flow)
+        content = queue.take(lambda _: "booking-1", 600)
+        versions[content.service] = content.complete
+    assert versions == {SERVICE: 0, "sheets": 2}
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_any_history_ends_with_each_exception_at_its_backup(seed: int) -> None:
     """Guards against lost, stale or leaked exceptions after changes in any order."""
