--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -29,6 +29,7 @@
         self.lifecycle = lifecycle.Lifecycle(own, self.membership, self.replicator)
         self.view = self.membership.view
         self.open_flows = 0
+        self.table_known = True
         self.is_frozen = False
 
     @property
@@ -50,7 +51,7 @@
 
     def tick(self, now: float) -> list[wire.Outgoing]:
         """Let time pass."""
-        self.lifecycle.tick(now, table_known=True, open_flows=self.open_flows)
+        self.lifecycle.tick(now, self.table_known, self.open_flows)
         out = self.membership.tick(now)
         self.note_view(now)
         return out + self.replicator.tick(now)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -289,6 +289,17 @@
     assert 4.0 < took < 6.0
 
 
+def test_join_waits_for_a_table() -> None:
+    """Guards against an owner that can not place a flow."""
+    network = fakes.Network(6, 1)
+    joiner = network.start("entry-000")
+    joiner.table_known = False
+    network.run(10)
+    assert joiner.lifecycle.state == "joining"
+    joiner.table_known = True
+    assert network.run(10, lambda: joiner.lifecycle.state == "active") < 0.5
+
+
 def test_flush_precedes_the_leave() -> None:
     """Guards against a planned stop that loses exceptions or drops open flows."""
     network = fakes.Network(7, 8)
