--- a/tools/bench_udp.py
+++ b/tools/bench_udp.py
@@ -1,11 +1,11 @@
 """Compare one balancer's throughput with that of a bare Twisted UDP relay.
 
 Both forward the same closed-loop load, in alternating runs: flows of 1,200-byte
-datagrams that an upstream echoes. The figure is forwarded datagrams per second,
-requests and responses together.
+datagrams that an upstream echoes. The figures are forwarded datagrams, requests and
+responses together, per second and per second of processor time.
 """
 
-import json
+import os
 import pathlib
 import selectors
 import socket
@@ -25,7 +25,10 @@
 
 Address = tuple[str, int]
 GOAL: typing.Final = 0.5
-FLOWS: typing.Final = 32
+# One process of load does not keep a relay busy.
+LOADS: typing.Final = 3
+FLOWS: typing.Final = 16
+START_DELAY_S: typing.Final = 2.0
 WINDOW: typing.Final = 4
 SETTLE_S: typing.Final = 4.0
 PAYLOAD: typing.Final = b"\x40" + bytes(1199)
@@ -37,6 +40,14 @@
 RELAY_ADDRESS: typing.Final = ("127.0.0.1", 23_900)
 
 
+class Rates(typing.NamedTuple):
+    """Datagrams per second and per processor second, and the share of a core used."""
+
+    per_s: float
+    per_processor_s: float
+    busy: float
+
+
 class Back(protocol.DatagramProtocol):
     """The relay's socket of one caller."""
 
@@ -99,22 +110,21 @@
     return quic.datagrams_to_send(now=time.monotonic())[0][0]
 
 
-def measure_rate(address: Address, seconds: float) -> float:
-    """Return the forwarded datagrams per second of a window-limited load."""
+def run_load(address: Address, start_at_s: float, seconds: float) -> None:
+    """Print how many datagrams a window-limited load got answered."""
     selector = selectors.DefaultSelector()
     flows = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(FLOWS)]
     for flow in flows:
         flow.connect(address)
         flow.send(make_opening(address))
         selector.register(flow, selectors.EVENT_READ)
-    time.sleep(0.2)
+    time.sleep(max(0.0, start_at_s - time.time()))
     for flow in flows:
         flow.setblocking(False)
         for _ in range(WINDOW):
             flow.send(PAYLOAD)
     answered = 0
-    start_s = time.perf_counter()
-    end_s = start_s + seconds
+    end_s = time.perf_counter() + seconds
     while time.perf_counter() < end_s:
         ready = selector.select(0.1)
         if not ready:
@@ -129,23 +139,63 @@
                     break
                 answered += 1
                 flow.send(PAYLOAD)
-    elapsed_s = time.perf_counter() - start_s
-    for flow in flows:
-        flow.close()
-    return 2 * answered / elapsed_s
+    print(answered, flush=True)
+
+
+def read_processor_s(pid: int) -> float:
+    """Return the processor time that a process used."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def measure(
+    supervisor: processes.Supervisor,
+    target: str,
+    address: Address,
+    seconds: float,
+) -> Rates:
+    """Return the rates of a forwarding process under load."""
+    start_at_s = time.time() + START_DELAY_S
+    names = [f"load-{target}-{start_at_s:.0f}-{number}" for number in range(LOADS)]
+    for name in names:
+        arguments = ["--role", "load", "--seconds", str(seconds)]
+        arguments += ["--address", f"{address[0]}:{address[1]}"]
+        arguments += ["--start-at", str(start_at_s)]
+        supervisor.start(name, "tools.bench_udp", arguments)
+    pid = supervisor.running[target].pid
+    time.sleep(max(0.0, start_at_s - time.time()))
+    before_s = read_processor_s(pid)
+    time.sleep(seconds)
+    used_s = read_processor_s(pid) - before_s
+    for name in names:
+        supervisor.wait_for_end(name, 10)
+    outputs = [supervisor.directory / f"{name}.out" for name in names]
+    forwarded = 2 * sum(int(output.read_text()) for output in outputs)
+    return Rates(forwarded / seconds, forwarded / used_s, used_s / seconds)
 
 
 def run(
     runs: typing.Annotated[int, typer.Option(help="Alternating runs.")] = 5,
     seconds: typing.Annotated[float, typer.Option(help="Length of a run.")] = 2.0,
     role: typing.Annotated[str, typer.Option(hidden=True)] = "",
+    address: typing.Annotated[str, typer.Option(hidden=True)] = "",
+    start_at: typing.Annotated[float, typer.Option(hidden=True)] = 0.0,
 ) -> None:
     """Print the rates, their ratios and the median ratio."""
     table = LAYOUT.build_table(0)
     upstream = tables.parse_address(table.rows[0].address)
-    if role:
-        {"relay": run_relay, "echo": run_echo}[role](upstream)
-        return
+    if role == "load":
+        run_load(tables.parse_address(address), start_at, seconds)
+    elif role == "relay":
+        run_relay(upstream)
+    elif role == "echo":
+        run_echo(upstream)
+    else:
+        sys.exit(0 if compare(table, runs, seconds) >= GOAL else 1)
+
+
+def compare(table: tables.Table, runs: int, seconds: float) -> float:
+    """Print the figures of alternating runs and return the median ratio."""
     with tempfile.TemporaryDirectory(prefix="bench") as directory:
         supervisor = processes.Supervisor(pathlib.Path(directory))
         control = feeder.Feeder([LAYOUT.find_control(0)])
@@ -160,24 +210,37 @@
                 control.send([table], balancers.vms)
                 time.sleep(0.5)
             listener = tables.parse_address(LAYOUT.find_listener(0, 0))
+            name = balancers.name(balancers.vms[0].name)
             pairs = [
-                (measure_rate(RELAY_ADDRESS, seconds), measure_rate(listener, seconds))
+                (
+                    measure(supervisor, "relay", RELAY_ADDRESS, seconds),
+                    measure(supervisor, name, listener, seconds),
+                )
                 for _ in range(runs)
             ]
         finally:
             control.close()
             supervisor.stop_all()
-    ratios = [balancer / relay for relay, balancer in pairs]
-    result = {
-        "relay": [round(relay) for relay, _ in pairs],
-        "balancer": [round(balancer) for _, balancer in pairs],
-        "ratios": [round(ratio, 3) for ratio in ratios],
-        "median": round(statistics.median(ratios), 3),
-        "range": [round(min(ratios), 3), round(max(ratios), 3)],
-        "goal": GOAL,
-    }
-    print(json.dumps(result))
-    sys.exit(0 if result["median"] >= GOAL else 1)  # type: ignore[operator]
+    for relay, balancer in pairs:
+        print(f"relay {describe(relay)}; balancer {describe(balancer)}")
+    median = 0.0
+    for field in ("per_processor_s", "per_s"):
+        ratios = [
+            getattr(balancer, field) / getattr(relay, field)
+            for relay, balancer in pairs
+        ]
+        median = statistics.median(ratios)
+        print(f"{field}: {median:.2f} ({min(ratios):.2f} to {max(ratios):.2f})")
+    print(f"goal: per_s at least {GOAL}")
+    return median
+
+
+def describe(rates: Rates) -> str:
+    """Return rates as text."""
+    return (
+        f"{rates.per_s:,.0f}/s, {rates.per_processor_s:,.0f} per processor second, "
+        f"{rates.busy:.0%} of a core"
+    )
 
 
 if __name__ == "__main__":
