End a balancer that can not listen; report all faults of its settings

Cause: a taken address left a process without sockets running, and faults of the service section were hidden behind others. Change: exit status 1 with the address; free sections are checked with the other keys; addresses are compared in the kernel's form; a restarted host keeps its slot count.

--- a/src/pistachioshed/adapters/datagrams.py
+++ b/src/pistachioshed/adapters/datagrams.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+import ipaddress
 import socket
 import typing
 from collections import abc
@@ -110,7 +111,7 @@
         self.ports: list[typing.Any] = []
         self.pack_flow = functools.lru_cache(CACHED_FLOWS)(relay.pack_flow)
         self.unpack_flow = functools.lru_cache(CACHED_FLOWS)(relay.unpack_flow)
-        self.parse_address = functools.lru_cache(tables.MAX_ROWS)(tables.parse_address)
+        self.parse_address = functools.lru_cache(tables.MAX_ROWS)(parse_address)
 
     def open_listener(self, service: str, address: Address) -> None:
         """Listen for a service's callers."""
@@ -129,7 +130,7 @@
         """
         for name, text in peers.items():
             self.peers.pop(name, None)
-            self.peers[name] = tables.parse_address(text)
+            self.peers[name] = parse_address(text)
         for name in list(self.peers)[: len(self.peers) - MAX_PEERS]:
             del self.peers[name]
         self.peer_names = {address: name for name, address in self.peers.items()}
@@ -294,8 +295,14 @@
         host, number = address
         listening = self.reactor.listenUDP(number, port, interface=host)
         handle = port.transport.getHandle()
-        # `transport.write` checks the address on each call: 42,000 datagrams/s, against
-        # 52,000 without (medians of tools/bench_udp.py).
+        # `transport.write` checks the address on each call: 45,000 datagrams per
+        # processor second, against 55,000 without (medians of tools/bench_udp.py).
         port.send = handle.sendto
         handle.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.ports.append(listening)
+
+
+def parse_address(text: str) -> Address:
+    """Parse "ip:port" into the form in which the kernel reports a sender."""
+    host, port = tables.parse_address(text)
+    return str(ipaddress.ip_address(host)), port
--- a/src/pistachioshed/adapters/ini.py
+++ b/src/pistachioshed/adapters/ini.py
@@ -7,6 +7,7 @@
 
 T = typing.TypeVar("T")
 Parse = abc.Callable[[str], object]
+Sections = dict[str, dict[str, str]]
 
 
 class SettingError(ValueError):
@@ -20,6 +21,9 @@
         super().__init__(f"{path}: [{section}] {key}: {allowed}")
 
 
+FindFaults = abc.Callable[[Sections], abc.Iterable[SettingError]]
+
+
 class Option(typing.NamedTuple):
     """One key of a section.
 
@@ -43,6 +47,7 @@
     options: abc.Sequence[Option],
     build: abc.Callable[..., T],
     free_sections: abc.Collection[str] = (),
+    find_faults: FindFaults = lambda sections: (),
 ) -> T:
     """Read a settings file.
 
@@ -56,6 +61,8 @@
         Called with one keyword per option and one dict of str to str per free section.
     free_sections : collection of str
         Sections whose keys are names that the operators choose.
+    find_faults : callable, optional
+        Called with the free sections; yields their faults.
 
     Returns
     -------
@@ -80,6 +87,9 @@
         section: dict(parser[section]) if parser.has_section(section) else {}
         for section in free_sections
     }
+    errors += find_faults(
+        {name: dict(parser[name]) for name in free_sections if name in parser}
+    )
     for option in options:
         text = parser.get(option.section, option.key, fallback=option.default)
         if text is None:
--- a/src/pistachioshed/apps/balancer.py
+++ b/src/pistachioshed/apps/balancer.py
@@ -6,7 +6,7 @@
 import typing
 
 import typer
-from twisted.internet import task
+from twisted.internet import error, task
 from twisted.python import log as twisted_log
 
 from pistachioshed.adapters import datagrams, jsonlog, metrics, reactors
@@ -52,6 +52,16 @@
         self.last_tick_s = time.monotonic()
         self.loop_lag_s = 0.0
         self.stopping = False
+        self.status = 0
+
+    def start_or_fail(self) -> None:
+        """Start, or end the process if an address can not be used."""
+        try:
+            self.start()
+        except error.CannotListenError as fault:
+            jsonlog.log_failure("listen", error=str(fault))
+            self.status = 1
+            self.stop()
 
     def start(self) -> None:
         """Open the sockets and start the timers."""
@@ -113,9 +123,9 @@
         """Take over what the control process sent."""
         try:
             update = messages.decode_update(payload)
-        except messages.LinkError as error:
+        except messages.LinkError as fault:
             peer = self.settings.control_address
-            jsonlog.log_failure("receive update", peer=peer, error=str(error))
+            jsonlog.log_failure("receive update", peer=peer, error=str(fault))
             return
         if update.vms:
             self.datagrams.add_peers({vm.name: vm.address for vm in update.vms})
@@ -145,8 +155,8 @@
             self.reactor.stop()
 
 
-def run_daemon(settings: balanceroptions.BalancerSettings) -> None:
-    """Run a balancer until it is stopped."""
+def run_daemon(settings: balanceroptions.BalancerSettings) -> int:
+    """Run a balancer until it is stopped and return the exit status."""
     loop, reactor = reactors.install_reactor()
 
     core = settings.core
@@ -157,8 +167,9 @@
     daemon = Daemon(settings, reactor)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.request_stop)
-    reactor.callWhenRunning(daemon.start)
+    reactor.callWhenRunning(daemon.start_or_fail)
     reactor.run(installSignalHandlers=False)
+    return daemon.status
 
 
 def run(
@@ -180,10 +191,10 @@
     try:
         checked = balanceroptions.read_balancer_settings(settings)
     except ExceptionGroup as group:
-        for error in group.exceptions:
-            typer.echo(str(error), err=True)
+        for fault in group.exceptions:
+            typer.echo(str(fault), err=True)
         raise typer.Exit(2) from group
-    run_daemon(checked)
+    raise typer.Exit(run_daemon(checked))
 
 
 def main() -> None:
--- a/src/pistachioshed/apps/balanceroptions.py
+++ b/src/pistachioshed/apps/balanceroptions.py
@@ -203,7 +203,6 @@
         metrics_address: str,
         **values: typing.Any,
     ) -> BalancerSettings:
-        _check_sections(str(path), services, seeds)
         return BalancerSettings(
             core=settings.Settings(address=peer_address, seeds=tuple(seeds), **values),
             services={
@@ -215,22 +214,26 @@
             seeds=seeds,
         )
 
-    return ini.read_settings(path, OPTIONS, build, FREE_SECTIONS)
+    def find_faults(sections: ini.Sections) -> list[ini.SettingError]:
+        return list(_find_section_faults(str(path), sections))
 
+    return ini.read_settings(path, OPTIONS, build, FREE_SECTIONS, find_faults)
 
-def _check_sections(path: str, services: dict[str, str], seeds: dict[str, str]) -> None:
-    errors = [
-        ini.SettingError(path, section, name, f"{text!r} is not allowed: {ADDRESS}")
-        for section, entries in (("services", services), ("seeds", seeds))
-        for name, text in entries.items()
-        if not _is_address(text)
-    ]
+
+def _find_section_faults(
+    path: str,
+    sections: ini.Sections,
+) -> abc.Iterator[ini.SettingError]:
+    for section, entries in sections.items():
+        for name, text in entries.items():
+            if not _is_address(text):
+                problem = f"{text!r} is not allowed: {ADDRESS}"
+                yield ini.SettingError(path, section, name, problem)
+    services = sections.get("services", {})
     if not services:
-        errors.append(ini.SettingError(path, "services", "*", "at least one service"))
+        yield ini.SettingError(path, "services", "*", "at least one service")
     if len(set(services.values())) < len(services):
-        errors.append(ini.SettingError(path, "services", "*", "addresses must differ"))
-    if errors:
-        raise ExceptionGroup("settings", errors)
+        yield ini.SettingError(path, "services", "*", "addresses must differ")
 
 
 def _is_address(text: str) -> bool:
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -55,9 +55,11 @@
         deadline_s = float(request.headers.get("x-deadline-ms", "60000")) / 1_000
         if self.shedding or self.waiting >= self.queue_limit:
             return http3.Response(503, NOT_RUN, b"")
+        # A restart replaces the semaphore; a request gives back the slot it took.
+        semaphore = self.semaphore
         self.waiting += 1
         try:
-            await asyncio.wait_for(self.semaphore.acquire(), deadline_s)
+            await asyncio.wait_for(semaphore.acquire(), deadline_s)
         except TimeoutError:
             return http3.Response(504, NOT_RUN, b"")
         finally:
@@ -67,7 +69,7 @@
             return await self._work(request)
         finally:
             self.busy -= 1
-            self.semaphore.release()
+            semaphore.release()
 
     async def _work(self, request: http3.Request) -> http3.Response:
         url = urllib.parse.urlsplit(request.path)
--- a/tests/test_balanceroptions.py
+++ b/tests/test_balanceroptions.py
@@ -27,12 +27,16 @@
     settings = balanceroptions.read_balancer_settings(path)
     assert settings.core.name == "entry-1"
     assert settings.services == {"booking": ("127.0.0.1", 9001)}
-    faulty = GOOD.replace("key = 0011", "key = xx").replace("7201", "77201")
+    faulty = (
+        GOOD.replace("key = 0011", "key = xx")
+        .replace("7201", "77201")
+        .replace("9001", "no")
+    )
     path.write_text(faulty + "\n[tunables]\nhysteresis = 0.5\ncolour = red\n")
     with pytest.raises(ExceptionGroup) as caught:
         balanceroptions.read_balancer_settings(path)
     text = " ".join(str(error) for error in caught.value.exceptions)
-    for key in ("key", "metrics_address", "hysteresis", "colour"):
+    for key in ("key", "metrics_address", "hysteresis", "colour", "booking"):
         assert f"] {key}:" in text
     assert "33445566" not in text
 
