Inject faults alone and in pairs at the decision core

New rules: flows stay under a death with no change under way; a balancer that refused an opening does not forward it within its memory.

--- a/src/pistachioshed/apps/lab.py
+++ b/src/pistachioshed/apps/lab.py
@@ -1,16 +1,25 @@
 """Run load experiments on the decision core and report measures."""
 
+import collections
 import typing
 
 import typer
 
-from pistachioshed.lab import deployments, measures, policies, report, scenarios
+from pistachioshed.lab import (
+    deployments,
+    faults,
+    measures,
+    policies,
+    report,
+    scenarios,
+)
 
 app = typer.Typer(add_completion=False, help=__doc__)
 
 
-@app.command()
+@app.callback(invoke_without_command=True)
 def run(
+    context: typer.Context,
     deployment: typing.Annotated[
         str, typer.Option(help="One of " + ", ".join(deployments.DEPLOYMENTS))
     ] = "krasotava",
@@ -29,6 +38,8 @@
     ] = False,
 ) -> None:
     """Run scenarios against policies and print one Markdown table."""
+    if context.invoked_subcommand is not None:
+        return
     chosen = _find_choice(deployments.DEPLOYMENTS, [deployment], "--deployment")[0]
     results = []
     for course in _find_choice(scenarios.SCENARIOS, scenario, "--scenario"):
@@ -44,6 +55,45 @@
     typer.echo(report.format_report(chosen, results))
 
 
+@app.command("faults")
+def run_faults(
+    seeds: typing.Annotated[int, typer.Option(help="Seeds per pair")] = 1,
+    first_seed: typing.Annotated[int, typer.Option(help="The first seed")] = 1,
+    fault: typing.Annotated[
+        list[str] | None,
+        typer.Option(
+            help="Run just these together; of " + ", ".join(faults.FAULTS),
+        ),
+    ] = None,
+    deployment: typing.Annotated[
+        str, typer.Option(help="One of " + ", ".join(deployments.DEPLOYMENTS))
+    ] = "krasotava",
+    trace: typing.Annotated[
+        bool, typer.Option(help="Print the trace of each run's first violation")
+    ] = False,
+) -> None:
+    """Run every fault and every pair of faults and print what broke a rule."""
+    chosen = _find_choice(deployments.DEPLOYMENTS, [deployment], "--deployment")[0]
+    _find_choice(faults.FAULTS, fault, "--fault")
+    runs = failed = 0
+    for names in [tuple(fault)] if fault else faults.list_pairs():
+        for seed in range(first_seed, first_seed + seeds):
+            result = faults.run_faults(names, seed, policies.build_core, chosen)
+            runs += 1
+            if not result.violations:
+                continue
+            failed += 1
+            rules = collections.Counter(v.rule for v in result.violations)
+            counts = ", ".join(f"{rule} {count}" for rule, count in rules.items())
+            typer.echo(f"{'+'.join(names)} seed {seed}: {counts}")
+            typer.echo(f"  first: {result.violations[0].detail}")
+            for line in result.trace if trace else ():
+                typer.echo(f"    {line}")
+    typer.echo(f"{runs} runs, {failed} with violations, {chosen.name}")
+    if failed:
+        raise typer.Exit(1)
+
+
 T = typing.TypeVar("T")
 
 
--- a/src/pistachioshed/lab/callers.py
+++ b/src/pistachioshed/lab/callers.py
@@ -39,6 +39,7 @@
         self.key = number.to_bytes(6, "big")
         self.opening_id = number & 0xFFFFFFFF
         self.opened = False
+        self.server = ""
         self.ended = False
         self.sent = 0
         self.request: str | None = None
@@ -58,6 +59,7 @@
             return
         if answer.kind == "accepted" and not self.opened:
             self.opened = True
+            self.server = answer.server
             self.source.opened += 1
             self.attempt += 1
             self._send_next()
@@ -97,6 +99,7 @@
             opening_id,
             request,
             self.work_s,
+            self.server,
         )
         self.source.fleet.send_packet(packet)
         self.source.clock.schedule(
@@ -118,7 +121,12 @@
 
     def _close(self) -> None:
         packet = fleet.Packet(
-            self.source.load.service, self.key, self.name, events.PacketKind.DATA, 0
+            self.source.load.service,
+            self.key,
+            self.name,
+            events.PacketKind.DATA,
+            0,
+            server=self.server,
         )
         self.source.fleet.send_packet(packet)
         self._end()
--- a/src/pistachioshed/lab/hosts.py
+++ b/src/pistachioshed/lab/hosts.py
@@ -44,6 +44,7 @@
         self.record = record
         self.up = True
         self.draining = False
+        self.shedding = False
         self.connections: dict[str, typing.Any] = {}
         self.accepted = 0
         self.running = 0
--- a/src/pistachioshed/lab/measures.py
+++ b/src/pistachioshed/lab/measures.py
@@ -93,6 +93,7 @@
     )
     lab.clock.schedule(3.0, lambda: lab.start_load(duration_s))
     lab.clock.run_until(duration_s + 15.0)
+    lab.fleet.close_history()
     bounds = history.Bounds(planned_only=scenario.planned)
     violations = history.check_history(lab.fleet.records, bounds)
     packets = sum(isinstance(record, history.Delivery) for record in lab.fleet.records)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,5 +1,7 @@
 """The history checker rejects one bad history per rule."""
 
+import typing
+
 import pytest
 
 from pistachioshed.lab import history
@@ -10,6 +12,7 @@
 ACCEPTED = history.EditAccepted("booking", 2, 10.0)
 LIVE = history.NodeLive("riga-a-1", 0.0, 60.0)
 IN_FORCE = history.VersionInForce("riga-a-1", "booking", 2, 11.0)
+REFUSED = history.OpeningRefused("booking", "f1", "riga-a-1", 0.5)
 GOOD: list[history.Record] = [RAN, EXECUTED, OPENED, ACCEPTED, LIVE, IN_FORCE]
 PLANNED = history.Bounds(planned_only=True)
 
@@ -27,6 +30,7 @@
     "edit in force": [ACCEPTED, LIVE, IN_FORCE._replace(at_s=14.1)],
     "never reverts": [IN_FORCE, IN_FORCE._replace(version=1, at_s=12.0)],
     "flow survives": [OPENED, OPENED._replace(upstream="booking-2", at_s=2.0)],
+    "refusal stands": [REFUSED, OPENED._replace(at_s=2.0, node="riga-a-1")],
     "no request cut": [RAN._replace(outcome="unknown", returned_s=None)],
 }
 
@@ -48,3 +52,53 @@
     lives = [LIVE._replace(from_s=10.5), LIVE._replace(until_s=13.0)]
     records: list[history.Record] = [ACCEPTED, *lives]
     assert history.check_history(records, history.Bounds()) == []
+
+
+MOVED: list[history.Record] = [OPENED, OPENED._replace(upstream="booking-2", at_s=2.0)]
+LATE: list[history.Record] = [
+    history.UpstreamLeaving("booking", "booking-1", 1.0),
+    OPENED._replace(at_s=20.0, node="riga-a-1"),
+]
+
+
+@pytest.mark.parametrize(
+    ("bounds", "broken"),
+    [
+        (history.Bounds(), set()),
+        (history.Bounds(flows_stay=True), {"flow survives"}),
+    ],
+)
+def test_moved_flow_counts_where_flows_must_stay(
+    bounds: history.Bounds, broken: set[str]
+) -> None:
+    """Guards against a death with no change under way that may break flows."""
+    assert {found.rule for found in history.check_history(MOVED, bounds)} == broken
+
+
+def test_cut_request_alone_is_allowed_without_a_planned_run() -> None:
+    """Guards against asking of a host's death what only planned changes promise."""
+    cut = RAN._replace(outcome="unknown", returned_s=None)
+    assert history.check_history([cut], history.Bounds(flows_stay=True)) == []
+
+
+@pytest.mark.parametrize(
+    ("woke_s", "broken"), [(10.0, {"leaving upstream"}), (18.0, set())]
+)
+def test_work_at_leaving_upstream_needs_a_node_that_could_know(
+    woke_s: float, broken: set[str]
+) -> None:
+    """Guards against blaming a frozen node, and against sparing a reachable one."""
+    records = [*LATE, LIVE._replace(from_s=woke_s)]
+    found = history.check_history(records, history.Bounds())
+    assert {violation.rule for violation in found} == broken
+
+
+@pytest.mark.parametrize(
+    "change", [{"node": "riga-b-2"}, {"at_s": 0.4}, {"at_s": 31.0}]
+)
+def test_refusal_binds_one_balancer_for_its_memory(
+    change: dict[str, typing.Any],
+) -> None:
+    """Guards against a rule that forbids a new opening elsewhere or later."""
+    sent = OPENED._replace(**{"node": "riga-a-1", "at_s": 2.0, **change})
+    assert history.check_history([REFUSED, sent], history.Bounds()) == []
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -229,3 +229,19 @@
     _, action = fleet.send(fleets.FIRST, fleets.build_opening(1))
     assert isinstance(action, events.RefuseOpening)
     assert not action.not_run
+
+
+def test_flows_survive_a_leave_when_the_successors_skipped_a_version() -> None:
+    """Guards against placing a leaver's flows by a table that it never had."""
+    fleet = fleets.Fleet(TABLE, 4)
+    places = read_places(fleet)
+    second = LIGHTER
+    third = fleets.replace_row(second, 4, weight=0.2)
+    fleet.handle("balancer-2", events.TableReceived(second))
+    fleet.advance(2.0)
+    for name in ("balancer-1", "balancer-3", "balancer-4"):
+        fleet.handle(name, events.TableReceived(third))
+    fleet.handle("balancer-2", events.StopRequested())
+    for _ in range(12):
+        fleet.advance(0.5)
+        assert fleet.find_upstreams(FLOWS) == places
