Forget a former owner's binding when its connection is replaced

A node that no longer owns a flow kept serving data by its old binding after it had relayed the opening of a new connection, so that part of the data reached the old upstream. It now drops its binding with the relayed opening.

--- a/src/pistachioshed/core/node.py
+++ b/src/pistachioshed/core/node.py
@@ -109,7 +109,7 @@
             if flow is not None and event.kind:
                 return self._forward(event, flow, now)
             return self._drop("no owner")
-        return self._relay(event, state, owner)
+        return self._relay(event, state, owner, now)
 
     def _handle_relayed(self, event: events.RelayedPacket, now: float) -> Actions:
         state = self.services.get(event.service)
@@ -119,7 +119,7 @@
             # The sender's view lags; the flow is with its successor by now.
             owner = hashing.find_best(event.flow, self.peering.owners)
             if owner not in (None, event.peer):
-                return self._relay(event, state, owner)
+                return self._relay(event, state, owner, now)
         flow = state.table.flows.get(event.flow)
         if flow is not None and event.kind:
             return self._forward(event, flow, now)
@@ -132,9 +132,13 @@
         event: events.CallerPacket | events.RelayedPacket,
         state: service.Service,
         owner: str,
+        now: float,
     ) -> Actions:
         flow = state.table.flows.get(event.flow)
-        if flow is not None:
+        if flow is not None and not event.kind and flow.opening_id != event.opening_id:
+            # The owner places the new connection; data must not take the old binding.
+            state.close_flow(event.flow, now)
+        elif flow is not None:
             # The response goes to the owner's port if the upstream follows the path.
             flows.end_wait(flow)
         return [events.SendOwner(owner)]
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -150,6 +150,23 @@
     assert fleet.nodes["balancer-4"].count_flows(fleets.SERVICE) > 0
 
 
+def test_former_owner_forgets_a_replaced_connection() -> None:
+    """Guards against data of a new connection that takes a former owner's binding."""
+    fleet = fleets.Fleet(TABLE, 1, spare=1)
+    places = read_places(fleet)
+    fleet.start("balancer-2")
+    fleet.advance(8.0)
+    fleet.edit(DRAINED)
+    gone = TABLE.rows[2].upstream
+    replaced = 0
+    for number in (n for n, upstream in places.items() if upstream == gone):
+        opening = fleets.build_opening(number, opening_id=2)
+        owner, action = fleet.send(fleets.FIRST, opening)
+        replaced += owner == "balancer-2"
+        assert fleet.send(fleets.FIRST, fleets.build_data(number)) == (owner, action)
+    assert replaced > 5
+
+
 def test_frozen_balancer_resumes_with_its_bindings() -> None:
     """Guards against a resumed node that sends flows elsewhere than its successor."""
     fleet = fleets.Fleet(TABLE, 4)
