Hold idle flows through the demonstration; choose free ports for each run

Cause: 15 flows over 7 hosts say little about imbalance, and two worktrees that ran the process-level tests at once took each other's ports (seen: two tests failed with an address in use). Change: 200 idle flows per deployment with keepalives; every run reserves a free range of ports; a closed client stops its timers.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -17,13 +17,11 @@
 
 import typer
 
-from standins import hosts, http3
+from standins import http3, sessions
 
-KEEPALIVE_S: typing.Final = 2.0
-REQUEST_TIMEOUT_S: typing.Final = 10.0
-DEADLINE_MS: typing.Final = 5_000
 MAX_TRIES: typing.Final = 3
 RETRY_PAUSE_S: typing.Final = 0.3
+HOLD_SPREAD_S: typing.Final = 3.0
 LONG_SHARE: typing.Final = 0.4
 WRITE_SHARE: typing.Final = 0.25
 SHEET_SIZES: typing.Final = (20_000, 100_000, 400_000)
@@ -32,75 +30,13 @@
 Write = abc.Callable[[dict[str, object]], None]
 
 
-class Target(typing.NamedTuple):
-    """A service's address and the mix that it is asked for."""
-
-    service: str
-    address: http3.Address
-    mix: typing.Literal["requests", "sheets"]
-
-
-class Operation(typing.NamedTuple):
-    """One request to be made, possibly in several tries."""
-
-    kind: str
-    request_id: str
-    method: str
-    path: str
-
-    def name_attempt(self, attempt: int) -> str:
-        """Return the request id of one try, so that each can be judged by itself."""
-        return f"{self.request_id}.{attempt}"
-
-
-class Flow:
-    """A caller's session: one connection at a time, reopened when its host drains."""
-
-    def __init__(self, address: http3.Address) -> None:
-        self.address = address
-        self.client: http3.Client | None = None
-        self.keepalive: asyncio.Task[None] | None = None
-        self.broken = ""
-
-    async def request(self, operation: Operation, request_id: str) -> http3.Response:
-        """Send a request over the connection, or over a new one."""
-        if self.client is not None and not self.client.usable:
-            if self.client.terminated is not None:
-                self.broken = "terminated while idle"
-            await self.close()
-        if self.client is None:
-            self.client = await http3.open_connection(self.address)
-            self.keepalive = asyncio.create_task(send_keepalives(self.client))
-        return await self.client.request(
-            operation.method,
-            operation.path,
-            {"x-request-id": request_id, "x-deadline-ms": str(DEADLINE_MS)},
-            REQUEST_TIMEOUT_S,
-        )
-
-    async def close(self) -> None:
-        """Close the connection, if there is one."""
-        if self.keepalive is not None:
-            self.keepalive.cancel()
-        if self.client is not None:
-            await http3.close_connection(self.client)
-        self.client = None
-
-
-async def send_keepalives(client: http3.Client) -> None:
-    """Ping the server until the connection ends."""
-    while client.terminated is None:
-        await asyncio.sleep(KEEPALIVE_S)
-        client.send_keepalive()
-
-
 class Caller:
     """One caller; it uses one connection at a time."""
 
     def __init__(
         self,
         name: str,
-        targets: abc.Sequence[Target],
+        targets: abc.Sequence[sessions.Target],
         write: Write,
         executing: str,
         seed: str,
@@ -121,9 +57,11 @@
             long = self.choose.random() < LONG_SHARE
             await self._run_flow(target, long, until_s)
 
-    async def _run_flow(self, target: Target, long: bool, until_s: float) -> None:
+    async def _run_flow(
+        self, target: sessions.Target, long: bool, until_s: float
+    ) -> None:
         count = self.choose.randint(20, 60) if long else self.choose.randint(1, 3)
-        flow = Flow(target.address)
+        flow = sessions.Flow(target.address)
         opened_s = time.time()
         for _ in range(count):
             if time.monotonic() >= until_s or self.stopped.is_set() or flow.broken:
@@ -137,6 +75,28 @@
                 await self._pause(RETRY_PAUSE_S * attempt)
             if long:
                 await self._pause(self.choose.random() * 0.6)
+        await self._end_flow(flow, target, long, opened_s)
+
+    async def hold_flow(self, until_s: float) -> None:
+        """Hold one flow open, with a request at its start and at its end."""
+        target = self.choose.choice(self.targets)
+        flow = sessions.Flow(target.address)
+        await self._pause(self.choose.random() * HOLD_SPREAD_S)
+        opened_s = time.time()
+        await self._try(flow, target, self._plan(target), 1)
+        end_s = until_s - self.choose.random() * HOLD_SPREAD_S
+        await self._pause(end_s - time.monotonic())
+        if not flow.broken:
+            await self._try(flow, target, self._plan(target), 1)
+        await self._end_flow(flow, target, True, opened_s)
+
+    async def _end_flow(
+        self,
+        flow: sessions.Flow,
+        target: sessions.Target,
+        long: bool,
+        opened_s: float,
+    ) -> None:
         await flow.close()
         self.counts["flows"] += 1
         self.counts["broken"] += bool(flow.broken)
@@ -153,9 +113,9 @@
 
     async def _try(
         self,
-        flow: Flow,
-        target: Target,
-        operation: Operation,
+        flow: sessions.Flow,
+        target: sessions.Target,
+        operation: sessions.Operation,
         attempt: int,
     ) -> Outcome:
         invoked_s = time.time()
@@ -182,23 +142,23 @@
                 entry["reason"] = f"status {response.status}"
             else:
                 outcome = "ran"
-                answer, whole = read_answer(operation, request_id, response)
+                answer, whole = sessions.read_answer(operation, request_id, response)
                 entry |= {"answer": answer, "whole": whole}
                 entry["host"] = response.headers.get("x-host", "")
         self.write(entry | {"returned": time.time(), "outcome": outcome})
         self.counts[outcome] += 1
         return outcome
 
-    def _plan(self, target: Target) -> Operation:
+    def _plan(self, target: sessions.Target) -> sessions.Operation:
         request_id = str(uuid.UUID(int=self.choose.getrandbits(128), version=4))
         if target.mix == "sheets":
             size = self.choose.choice(SHEET_SIZES)
             path = f"/sheet?name={request_id}&size={size}"
-            return Operation("sheet", request_id, "GET", path)
+            return sessions.Operation("sheet", request_id, "GET", path)
         if self.choose.random() < WRITE_SHARE:
             path = f"/{self.executing}"
-            return Operation(self.executing, request_id, "POST", path)
-        return Operation("lookup", request_id, "GET", "/lookup")
+            return sessions.Operation(self.executing, request_id, "POST", path)
+        return sessions.Operation("lookup", request_id, "GET", "/lookup")
 
     async def _pause(self, seconds: float) -> None:
         try:
@@ -207,44 +167,33 @@
             return
 
 
-def read_answer(
-    operation: Operation,
-    request_id: str,
-    response: http3.Response,
-) -> tuple[str | None, bool]:
-    """Return the request that a response answers, and whether it is whole."""
-    if operation.kind == "sheet":
-        size = int(operation.path.rpartition("=")[2])
-        content = hosts.make_sheet(operation.request_id, size)
-        # A sheet's content is derived from its name, so a wrong one shows.
-        answers = response.body[:64] == content[:64]
-        return request_id if answers else None, response.body == content
-    try:
-        return str(json.loads(response.body)["request"]), True
-    except (ValueError, KeyError):
-        return None, False
-
-
-def parse_target(text: str) -> Target:
+def parse_target(text: str) -> sessions.Target:
     """Parse SERVICE=IP:PORT=MIX."""
     service, address, mix = text.split("=")
     host, _, port = address.rpartition(":")
     if mix not in ("requests", "sheets"):
         raise typer.BadParameter(f"{mix!r} is neither requests nor sheets")
-    return Target(service, (host, int(port)), mix)  # type: ignore[arg-type]
+    return sessions.Target(service, (host, int(port)), mix)  # type: ignore[arg-type]
 
 
-async def run_callers(callers: abc.Sequence[Caller], seconds: float) -> None:
-    """Run callers side by side until the time or SIGTERM."""
+async def run_callers(
+    callers: abc.Sequence[Caller],
+    holders: abc.Sequence[Caller],
+    seconds: float,
+) -> None:
+    """Run callers and holders of idle flows side by side until the time or SIGTERM."""
     loop = asyncio.get_running_loop()
 
     def stop() -> None:
-        for caller in callers:
+        for caller in (*callers, *holders):
             caller.stopped.set()
 
     loop.add_signal_handler(signal.SIGTERM, stop)
     until_s = time.monotonic() + seconds
-    await asyncio.gather(*(caller.run(until_s) for caller in callers))
+    await asyncio.gather(
+        *(caller.run(until_s) for caller in callers),
+        *(holder.hold_flow(until_s) for holder in holders),
+    )
 
 
 def run(
@@ -254,6 +203,7 @@
     ],
     history: typing.Annotated[pathlib.Path, typer.Option(help="JSON lines file.")],
     callers: typing.Annotated[int, typer.Option(help="How many callers.")] = 10,
+    idle: typing.Annotated[int, typer.Option(help="How many idle flows.")] = 0,
     seconds: typing.Annotated[float, typer.Option(help="How long.")] = 10.0,
     executing: typing.Annotated[
         str,
@@ -270,15 +220,14 @@
         def write(entry: dict[str, object]) -> None:
             file.write(json.dumps(entry) + "\n")
 
+        def make_caller(name: str) -> Caller:
+            return Caller(name, targets, write, executing, f"{seed}/{name}")
+
         async def start() -> None:
-            crew = [
-                Caller(
-                    f"{prefix}-{number}", targets, write, executing, f"{seed}/{number}"
-                )
-                for number in range(callers)
-            ]
-            await run_callers(crew, seconds)
-            for caller in crew:
+            crew = [make_caller(f"{prefix}-{number}") for number in range(callers)]
+            holders = [make_caller(f"{prefix}-idle-{number}") for number in range(idle)]
+            await run_callers(crew, holders, seconds)
+            for caller in (*crew, *holders):
                 counts.update(caller.counts)
 
         asyncio.run(start())
--- a/standins/http3.py
+++ b/standins/http3.py
@@ -192,7 +192,7 @@
     """
     loop = asyncio.get_running_loop()
     quic = connection.QuicConnection(configuration=configure_client())
-    transport, client = await loop.create_datagram_endpoint(
+    _, client = await loop.create_datagram_endpoint(
         lambda: Client(quic),
         local_addr=("127.0.0.1", 0),
     )
@@ -200,7 +200,7 @@
     try:
         await asyncio.wait_for(client.wait_connected(), timeout_s)
     except (TimeoutError, ConnectionError) as error:
-        transport.close()
+        drop_connection(client)
         ended = client.terminated
         refused = packet.QuicErrorCode.CONNECTION_REFUSED
         if ended is not None and ended.error_code == refused:
@@ -214,5 +214,13 @@
     client.close()
     # The close frame leaves at once; the draining period is not waited for.
     await asyncio.sleep(0)
+    drop_connection(client)
+
+
+def drop_connection(client: Client) -> None:
+    """Close a connection's socket and stop its timers, without a word to the server."""
+    for handle in (client._timer, client._transmit_task):
+        if handle is not None:
+            handle.cancel()
     if client._transport is not None:
         client._transport.close()
--- /dev/null
+++ b/standins/sessions.py
@@ -0,0 +1,91 @@
+"""A caller's flow: requests over one connection at a time, and their answers."""
+
+import asyncio
+import json
+import typing
+
+from standins import hosts, http3
+
+KEEPALIVE_S: typing.Final = 2.0
+REQUEST_TIMEOUT_S: typing.Final = 10.0
+DEADLINE_MS: typing.Final = 5_000
+
+
+class Target(typing.NamedTuple):
+    """A service's address and the mix that it is asked for."""
+
+    service: str
+    address: http3.Address
+    mix: typing.Literal["requests", "sheets"]
+
+
+class Operation(typing.NamedTuple):
+    """One request to be made, possibly in several tries."""
+
+    kind: str
+    request_id: str
+    method: str
+    path: str
+
+    def name_attempt(self, attempt: int) -> str:
+        """Return the request id of one try, so that each can be judged by itself."""
+        return f"{self.request_id}.{attempt}"
+
+
+class Flow:
+    """A caller's session: one connection at a time, reopened when its host drains."""
+
+    def __init__(self, address: http3.Address) -> None:
+        self.address = address
+        self.client: http3.Client | None = None
+        self.keepalive: asyncio.Task[None] | None = None
+        self.broken = ""
+
+    async def request(self, operation: Operation, request_id: str) -> http3.Response:
+        """Send a request over the connection, or over a new one."""
+        if self.client is not None and not self.client.usable:
+            if self.client.terminated is not None:
+                self.broken = "terminated while idle"
+            await self.close()
+        if self.client is None:
+            self.client = await http3.open_connection(self.address)
+            self.keepalive = asyncio.create_task(send_keepalives(self.client))
+        return await self.client.request(
+            operation.method,
+            operation.path,
+            {"x-request-id": request_id, "x-deadline-ms": str(DEADLINE_MS)},
+            REQUEST_TIMEOUT_S,
+        )
+
+    async def close(self) -> None:
+        """Close the connection, if there is one."""
+        if self.keepalive is not None:
+            self.keepalive.cancel()
+        if self.client is not None:
+            await http3.close_connection(self.client)
+        self.client = None
+
+
+async def send_keepalives(client: http3.Client) -> None:
+    """Ping the server until the connection ends."""
+    while client.terminated is None:
+        await asyncio.sleep(KEEPALIVE_S)
+        client.send_keepalive()
+
+
+def read_answer(
+    operation: Operation,
+    request_id: str,
+    response: http3.Response,
+) -> tuple[str | None, bool]:
+    """Return the request that a response answers, and whether it is whole."""
+    if operation.kind == "sheet":
+        size = int(operation.path.rpartition("=")[2])
+        content = hosts.make_sheet(operation.request_id, size)
+        # A sheet's content is derived from its name, so a wrong one shows.
+        answers = response.body[:64] == content[:64]
+        return request_id if answers else None, response.body == content
+    try:
+        return str(json.loads(response.body)["request"]), True
+    except (ValueError, KeyError):
+        return None, False
--- a/tests/playground.py
+++ b/tests/playground.py
@@ -9,7 +9,7 @@
 from collections import abc
 
 from pistachioshed.core import tables
-from standins import caller, hosts, http3
+from standins import hosts, http3, sessions
 from tools import feeder, fleet, layouts, processes
 
 BALANCERS: typing.Final = 3
@@ -19,21 +19,28 @@
 LAYOUT: typing.Final = layouts.KRASOTAVA._replace(
     name="test",
     services=(layouts.Service("sheets", 3, "sheets"),),
-    base=24_000,
 )
 
 
 @contextlib.contextmanager
 def run_fleet(directory: pathlib.Path) -> abc.Iterator[fleet.Fleet]:
     """Run the processes, with a fixed table and VM list, and end them."""
+    with layouts.reserve_ports(LAYOUT) as layout:
+        yield from _run_processes(directory, layout)
+
+
+def _run_processes(
+    directory: pathlib.Path,
+    layout: layouts.Layout,
+) -> abc.Iterator[fleet.Fleet]:
     supervisor = processes.Supervisor(directory)
-    running = fleet.Fleet(LAYOUT, supervisor, BALANCERS)
-    control = feeder.Feeder([LAYOUT.find_control(n) for n in range(BALANCERS)])
+    running = fleet.Fleet(layout, supervisor, BALANCERS)
+    control = feeder.Feeder([layout.find_control(n) for n in range(BALANCERS)])
     stopped = threading.Event()
 
     def feed() -> None:
         while not stopped.wait(FEED_S):
-            control.send([LAYOUT.build_table(0)], running.vms)
+            control.send([layout.build_table(0)], running.vms)
             control.read_reports()
 
     def has_joined() -> bool:
@@ -60,6 +67,7 @@
 
 
 async def download(
+    layout: layouts.Layout,
     flows: int,
     size: int,
     seconds: float,
@@ -72,13 +80,13 @@
     list of tuple of int and str
         Per flow, the whole downloads and what broke it, empty if nothing did.
     """
-    address = tables.parse_address(LAYOUT.find_front(0))
+    address = tables.parse_address(layout.find_front(0))
     end_s = time.monotonic() + seconds
 
     async def run_flow(number: int) -> tuple[int, str]:
         client = await http3.open_connection(address)
         # A server whose path died learns of the new one by a packet of its client.
-        keepalive = asyncio.create_task(caller.send_keepalives(client))
+        keepalive = asyncio.create_task(sessions.send_keepalives(client))
         whole = 0
         while time.monotonic() < end_s:
             name = f"{number}-{whole}"
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -23,7 +23,9 @@
             time.sleep(1)
             fleet.remove_from_fabric(0)
 
-        results = asyncio.run(playground.download(FLOWS, SHEET_BYTES, SECONDS, kill))
+        results = asyncio.run(
+            playground.download(fleet.layout, FLOWS, SHEET_BYTES, SECONDS, kill),
+        )
     assert [broken for _, broken in results if broken] == []
     assert all(whole > 0 for whole, _ in results)
 
@@ -37,7 +39,9 @@
             fleet.supervisor.send_signal(name, signal.SIGTERM)
             fleet.remove_from_fabric(0)
 
-        results = asyncio.run(playground.download(FLOWS, SHEET_BYTES, SECONDS, stop))
+        results = asyncio.run(
+            playground.download(fleet.layout, FLOWS, SHEET_BYTES, SECONDS, stop),
+        )
         assert fleet.supervisor.wait_for_end(name, LEFT_OVER_S) == 0
     assert [broken for _, broken in results if broken] == []
     assert all(whole > 0 for whole, _ in results)
--- a/tools/bench_udp.py
+++ b/tools/bench_udp.py
@@ -35,9 +35,8 @@
 LAYOUT: typing.Final = layouts.KRASOTAVA._replace(
     name="bench",
     services=(layouts.Service("booking", 1, "requests"),),
-    base=23_000,
 )
-RELAY_ADDRESS: typing.Final = ("127.0.0.1", 23_900)
+RELAY_PORT: typing.Final = 900
 
 
 class Rates(typing.NamedTuple):
@@ -83,10 +82,10 @@
         back.transport.write(datagram, self.upstream)
 
 
-def run_relay(upstream: Address) -> None:
+def run_relay(address: Address, upstream: Address) -> None:
     """Run the bare relay until it is ended."""
     _, reactor = reactors.install_reactor()
-    host, port = RELAY_ADDRESS
+    host, port = address
     reactor.listenUDP(port, Front(reactor, upstream), interface=host)
     print('"ready"', flush=True)
     reactor.run()
@@ -151,7 +150,7 @@
 def measure(
     supervisor: processes.Supervisor,
     target: str,
-    address: Address,
+    address: str,
     seconds: float,
 ) -> Rates:
     """Return the rates of a forwarding process under load."""
@@ -159,8 +158,7 @@
     names = [f"load-{target}-{start_at_s:.0f}-{number}" for number in range(LOADS)]
     for name in names:
         arguments = ["--role", "load", "--seconds", str(seconds)]
-        arguments += ["--address", f"{address[0]}:{address[1]}"]
-        arguments += ["--start-at", str(start_at_s)]
+        arguments += ["--address", address, "--start-at", str(start_at_s)]
         supervisor.start(name, "tools.bench_udp", arguments)
     pid = supervisor.running[target].pid
     time.sleep(max(0.0, start_at_s - time.time()))
@@ -179,48 +177,59 @@
     seconds: typing.Annotated[float, typer.Option(help="Length of a run.")] = 2.0,
     role: typing.Annotated[str, typer.Option(hidden=True)] = "",
     address: typing.Annotated[str, typer.Option(hidden=True)] = "",
+    upstream: typing.Annotated[str, typer.Option(hidden=True)] = "",
     start_at: typing.Annotated[float, typer.Option(hidden=True)] = 0.0,
 ) -> None:
     """Print the rates, their ratios and the median ratio."""
-    table = LAYOUT.build_table(0)
-    upstream = tables.parse_address(table.rows[0].address)
     if role == "load":
         run_load(tables.parse_address(address), start_at, seconds)
     elif role == "relay":
-        run_relay(upstream)
+        run_relay(tables.parse_address(address), tables.parse_address(upstream))
     elif role == "echo":
-        run_echo(upstream)
+        run_echo(tables.parse_address(address))
     else:
-        sys.exit(0 if compare(table, runs, seconds) >= GOAL else 1)
-
-
-def compare(table: tables.Table, runs: int, seconds: float) -> float:
+        with (
+            tempfile.TemporaryDirectory(prefix="bench") as directory,
+            layouts.reserve_ports(LAYOUT) as layout,
+        ):
+            median = compare(layout, pathlib.Path(directory), runs, seconds)
+        sys.exit(0 if median >= GOAL else 1)
+
+
+def compare(
+    layout: layouts.Layout,
+    directory: pathlib.Path,
+    runs: int,
+    seconds: float,
+) -> float:
     """Print the figures of alternating runs and return the median ratio."""
-    with tempfile.TemporaryDirectory(prefix="bench") as directory:
-        supervisor = processes.Supervisor(pathlib.Path(directory))
-        control = feeder.Feeder([LAYOUT.find_control(0)])
-        try:
-            for name in ("echo", "relay"):
-                supervisor.start(name, "tools.bench_udp", ["--role", name])
-                supervisor.wait_for_line(name, "ready", 10)
-            balancers = fleet.Fleet(LAYOUT, supervisor, balancers=1)
-            balancers.start_balancers()
-            end_s = time.monotonic() + SETTLE_S
-            while time.monotonic() < end_s:
-                control.send([table], balancers.vms)
-                time.sleep(0.5)
-            listener = tables.parse_address(LAYOUT.find_listener(0, 0))
-            name = balancers.name(balancers.vms[0].name)
-            pairs = [
-                (
-                    measure(supervisor, "relay", RELAY_ADDRESS, seconds),
-                    measure(supervisor, name, listener, seconds),
-                )
-                for _ in range(runs)
-            ]
-        finally:
-            control.close()
-            supervisor.stop_all()
+    supervisor = processes.Supervisor(directory)
+    table = layout.build_table(0)
+    upstream = table.rows[0].address
+    relay_address = f"127.0.0.1:{layout.base + RELAY_PORT}"
+    control = feeder.Feeder([layout.find_control(0)])
+    try:
+        for role, address in (("echo", upstream), ("relay", relay_address)):
+            arguments = ["--role", role, "--address", address, "--upstream", upstream]
+            supervisor.start(role, "tools.bench_udp", arguments)
+            supervisor.wait_for_line(role, "ready", 10)
+        balancers = fleet.Fleet(layout, supervisor, balancers=1)
+        balancers.start_balancers()
+        end_s = time.monotonic() + SETTLE_S
+        while time.monotonic() < end_s:
+            control.send([table], balancers.vms)
+            time.sleep(0.5)
+        name = balancers.name(balancers.vms[0].name)
+        pairs = [
+            (
+                measure(supervisor, "relay", relay_address, seconds),
+                measure(supervisor, name, layout.find_listener(0, 0), seconds),
+            )
+            for _ in range(runs)
+        ]
+    finally:
+        control.close()
+        supervisor.stop_all()
     for relay, balancer in pairs:
         print(f"relay {describe(relay)}; balancer {describe(balancer)}")
     median = 0.0
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -18,15 +18,17 @@
 from tools import controlplane, fleet, layouts, measures, processes
 
 TOTAL_LIMIT_S: typing.Final = 170
-LOAD_S: typing.Final = 30.0
+LOAD_S: typing.Final = 32.0
 GROUPS: typing.Final = 2
 CALLERS_PER_GROUP: typing.Final = 15
+IDLE_PER_GROUP: typing.Final = 100
 READY_LIMIT_S: typing.Final = 25.0
 EDIT_LIMIT_S: typing.Final = 4.0
 STOP_LIMIT_S: typing.Final = 40.0
 # SWIM needs up to 2 s to agree on a death; a fabric's health check needs about one.
 FABRIC_CHECK_S: typing.Final = 1.0
 SETTLE_S: typing.Final = 4.0
+OPENING_S: typing.Final = 4.0
 SAMPLES: typing.Final = 6
 SAMPLE_INTERVAL_S: typing.Final = 0.5
 SIGNALS: typing.Final = (signal.SIGTERM, signal.SIGINT, signal.SIGALRM)
@@ -56,7 +58,12 @@
         """Start everything, make the changes under load and return the measures."""
         self._start()
         callers = [
-            self.fleet.start_callers(self.seed + group, CALLERS_PER_GROUP, LOAD_S)
+            self.fleet.start_callers(
+                self.seed + group,
+                CALLERS_PER_GROUP,
+                IDLE_PER_GROUP,
+                LOAD_S,
+            )
             for group in range(GROUPS)
         ]
         end_s = time.monotonic() + LOAD_S
@@ -109,7 +116,7 @@
         return self.supervisor.wait_for(f"{service} v{version}", check, limit_s)
 
     def _sample_connections(self) -> None:
-        time.sleep(2)
+        time.sleep(OPENING_S)
         for _ in range(SAMPLES):
             self.samples.append(measures.sample_connections(self.layout))
             time.sleep(SAMPLE_INTERVAL_S)
@@ -199,7 +206,8 @@
                 continue
             supervisor = processes.Supervisor(directory)
             try:
-                result = Demonstration(layout, supervisor, seed).run()
+                with layouts.reserve_ports(layout) as placed:
+                    result = Demonstration(placed, supervisor, seed).run()
                 results.append((layout, result))
                 faults += [f"{layout.title}: {text}" for text in list_faults(result)]
             except KeyboardInterrupt as error:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -120,10 +120,16 @@
         self.supervisor.start(self.name("fabric"), "standins.fabric", arguments)
         self.supervisor.wait_for_line(self.name("fabric"), '"ready"', START_LIMIT_S)
 
-    def start_callers(self, group: int, callers: int, seconds: float) -> str:
+    def start_callers(
+        self,
+        group: int,
+        callers: int,
+        idle: int,
+        seconds: float,
+    ) -> str:
         """Start a process of callers and return its name."""
         arguments = ["--callers", str(callers), "--seconds", str(seconds)]
-        arguments += ["--history", str(self.history_file)]
+        arguments += ["--idle", str(idle), "--history", str(self.history_file)]
         arguments += ["--executing", self.layout.executing]
         arguments += ["--seed", str(group), "--prefix", f"caller-{group}"]
         for index, service in enumerate(self.layout.services):
--- a/tools/layouts.py
+++ b/tools/layouts.py
@@ -1,11 +1,17 @@
 """The two deployments of the design page, laid out on loopback ports."""
 
+import contextlib
+import socket
 import typing
+from collections import abc
 
 from pistachioshed.core import events, tables
 
 BALANCERS: typing.Final = 8
 KEY: typing.Final = "4f" * 32
+PORTS: typing.Final = 1_000
+# Below the ephemeral ports, which start at 32768.
+BASES: typing.Final = range(11_000, 32_000, PORTS)
 
 
 class Service(typing.NamedTuple):
@@ -17,7 +23,7 @@
 
 
 class Layout(typing.NamedTuple):
-    """One deployment; `base` is the first of 1,000 ports."""
+    """One deployment; `base` is the first of its ports."""
 
     name: str
     title: str
@@ -25,7 +31,7 @@
     services: tuple[Service, ...]
     executing: str
     delay_ms: float
-    base: int
+    base: int = 0
 
     def list_vms(self) -> tuple[events.Vm, ...]:
         """Return the balancers, spread over the zones."""
@@ -72,6 +78,25 @@
         return tables.Table(name, version, rows, f"edit-{version}")
 
 
+@contextlib.contextmanager
+def reserve_ports(layout: Layout) -> abc.Iterator[Layout]:
+    """Give a layout ports that no other run on this machine uses.
+
+    Raises
+    ------
+    OSError
+        If all ranges are in use.
+    """
+    with socket.socket() as lock:
+        for base in BASES:
+            with contextlib.suppress(OSError):
+                lock.bind(("127.0.0.1", base + PORTS - 1))
+                break
+        else:
+            raise OSError("all port ranges are in use by other runs")
+        yield layout._replace(base=base)
+
+
 KRASOTAVA: typing.Final = Layout(
     "krasotava",
     "Krāsotava Slots SIA",
@@ -79,7 +104,6 @@
     (Service("booking", 7, "requests"), Service("sheets", 3, "sheets")),
     "reservation",
     1.0,
-    21_000,
 )
 ZILINSKA: typing.Final = Layout(
     "zilinska",
@@ -88,6 +112,5 @@
     (Service("press-console", 7, "requests"), Service("pattern-library", 4, "sheets")),
     "confirmation",
     3.0,
-    22_000,
 )
 LAYOUTS: typing.Final = (KRASOTAVA, ZILINSKA)
