--- a/src/pistachioshed/core/probing.py
+++ b/src/pistachioshed/core/probing.py
@@ -55,7 +55,8 @@
         self.targets = targets
         for target in self.due.keys() - targets.keys():
             del self.due[target]
-        for target in targets.keys() - self.due.keys():
+        # In order, so that a seed gives the same times in every process.
+        for target in sorted(targets.keys() - self.due.keys()):
             self.due[target] = now + self.rng.random() * self.settings.probe_interval_s
         for target in self.results.keys() - rows:
             del self.results[target]
--- /dev/null
+++ b/tests/test_golden.py
@@ -0,0 +1,127 @@
+"""Golden files of whole sessions: one balancer per deployment, one control process."""
+
+import typing
+
+import pytest
+import syrupy.assertion
+
+from pistachioshed.core import controls, node, settings
+from pistachioshed.lab import deployments, fleet, world
+from tests import builders, transcripts
+from tests import fleet as controlfleet
+
+BALANCER_ROUTINE: typing.Final = ("Tick", "ProbeReported")
+MEMBERSHIP: typing.Final = (":Ping ", ":Ack ", ":PingRequest ", ":Gossip ")
+CONTROL_ROUTINE: typing.Final = (
+    "Tick",
+    "ReportReceived",
+    "DigestReceived",
+    "PublishDigest",
+    "Probe",
+    "PublishProbes",
+    "Renew",
+    "LeaseRenewed",
+    "Deliver update=(Update tables=[] ",
+)
+
+
+def is_routine_of_balancer(text: str) -> bool:
+    """Leave out ticks, probe results and membership messages."""
+    return text.startswith(BALANCER_ROUTINE) or any(m in text for m in MEMBERSHIP)
+
+
+def is_routine_of_control(text: str) -> bool:
+    """Leave out ticks, digests, probes and renewals."""
+    return text.startswith(CONTROL_ROUTINE)
+
+
+def build_world(
+    deployment: deployments.Deployment, transcript: transcripts.Transcript
+) -> world.World:
+    """Return three balancers and a light load; the first one is recorded."""
+    services = tuple(
+        service._replace(
+            hosts=3,
+            load=service.load._replace(
+                flows_per_s=0.4, requests_per_flow=2, think_s=4.0
+            ),
+        )
+        for service in deployment.services
+    )
+
+    def build(config: settings.Settings, seed: int) -> fleet.NodeLike:
+        made = node.Node(config, seed)
+        if config.name == f"{deployment.zones[0]}-1":
+            setattr(made, "handle", transcript.wrap(made.handle))
+        return made
+
+    return world.World(deployment._replace(balancers=3, services=services), build, 1)
+
+
+@pytest.mark.parametrize(
+    "deployment", [deployments.KRASOTAVA, deployments.ZILINA], ids=["riga", "hall"]
+)
+def test_session_of_a_balancer(
+    deployment: deployments.Deployment, snapshot: syrupy.assertion.SnapshotAssertion
+) -> None:
+    """Guards against any unintended change of what a balancer decides."""
+    transcript = transcripts.Transcript(fleet.CONTROL_KEY, is_routine_of_balancer)
+    lab = build_world(deployment, transcript)
+    first, second = (service.name for service in deployment.services)
+    lab.clock.run_until(3.0)
+    transcript.note("load")
+    lab.start_load(16.0)
+    lab.clock.run_until(8.0)
+    transcript.note(f"edit of {second}")
+    lab.set_weight(second, f"{second}-1", 0.25)
+    lab.clock.run_until(10.0)
+    transcript.note(f"drain of {first}-2")
+    lab.drain_row(first, f"{first}-2")
+    lab.clock.run_until(12.0)
+    transcript.note("death of another balancer")
+    lab.fleet.remove_node(list(lab.fleet.vms)[1])
+    lab.clock.run_until(17.0)
+    transcript.note("graceful stop")
+    lab.fleet.stop_node(next(iter(lab.fleet.vms)))
+    lab.clock.run_until(40.0)
+    assert sum(source.broken for source in lab.sources.values()) == 0
+    assert "\n".join(transcript.lines) == snapshot
+
+
+class RecordedFleet(controlfleet.Fleet):
+    """Control processes of which one is recorded."""
+
+    transcript: transcripts.Transcript
+    recorded = "riga-a-0"
+
+    def give(self, name: str, event: controls.Event) -> None:
+        """Let a node handle an event."""
+        policy = self.nodes.get(name)
+        if name == self.recorded and policy and "handle" not in vars(policy):
+            setattr(policy, "handle", self.transcript.wrap(policy.handle))
+        super().give(name, event)
+
+
+def test_session_of_a_control_process(
+    snapshot: syrupy.assertion.SnapshotAssertion,
+) -> None:
+    """Guards against any unintended change of what a control process decides."""
+    transcript = transcripts.Transcript(controlfleet.KEY, is_routine_of_control)
+    made = RecordedFleet(1, {"riga-a": 2, "riga-b": 1})
+    made.transcript = transcript
+    made.write(builders.build_table("booking", 2))
+    transcript.note("boot")
+    made.boot()
+    made.run(5.0)
+    transcript.note("edit")
+    made.write(builders.build_table("booking", 3, 2))
+    made.run(3.0)
+    transcript.note("store down while another zone has an edit")
+    made.no_store = {"riga-a-0", "riga-a-1"}
+    made.write(builders.build_table("booking", 2, 3))
+    made.run(4.0)
+    assert made.is_in_force(3)
+    transcript.note("store up")
+    made.no_store = set()
+    made.run(6.0)
+    assert "\n".join(transcript.lines) == snapshot
