--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,31 +14,13 @@
 
 from pistachioshed.adapters import bus
 from pistachioshed.core import controls, digests, distribution, events, link, tables
-from tests import builders
+from tests import builders, tablestore
 
 STEP_S: typing.Final = 0.05
 DELAY_S: typing.Final = 0.002
 KEY: typing.Final = bytes(16)
 
 
-class FakeStore:
-    """Tables, the reporter keys and status of all zones, with counted calls."""
-
-    def __init__(self) -> None:
-        self.revision = 1
-        self.tables: dict[str, controls.StoreTable] = {}
-        self.stale: dict[str, controls.StoreTable] | None = None
-        self.down = False
-        self.calls: collections.Counter[str] = collections.Counter()
-        self.watchers: set[str] = set()
-        self.reporters: dict[str, tuple[str, int, float]] = {}
-        self.status: dict[str, tuple[str, dict[str, dict[str, int]]]] = {}
-
-    def list_tables(self) -> list[controls.StoreTable]:
-        """Return what a read answers."""
-        return list((self.tables if self.stale is None else self.stale).values())
-
-
 class Fleet:
     """Policies by name, joined by a faulty network.
 
@@ -50,7 +32,7 @@
         self.rng = random.Random(seed)
         self.loss = loss
         self.now = 0.0
-        self.store = FakeStore()
+        self.store = tablestore.FakeStore()
         self.groups: dict[str, int] = {}
         self.no_store: set[str] = set()
         self.paused: set[str] = set()
