--- /dev/null
+++ b/examples/embed.py
@@ -0,0 +1,114 @@
+"""Embed the decision core: three balancers on a simulated clock, without sockets.
+
+Run it with `PYTHONPATH=src python examples/embed.py [SEED]`.
+"""
+
+import collections
+import sys
+import typing
+
+from pistachioshed.core import events, node, settings, tables
+
+SERVICE: typing.Final = "booking"
+NAMES: typing.Final = ("entry-1", "entry-2", "entry-3")
+TICK_S: typing.Final = 0.1
+SETTLE_S: typing.Final = 8.0
+FLOWS: typing.Final = 60
+
+
+class Host:
+    """Feeds events to its nodes and carries out what they ask for."""
+
+    def __init__(self, seed: int) -> None:
+        self.now = 0.0
+        self.control_bytes: collections.Counter[str] = collections.Counter()
+        self.nodes: dict[str, node.Node] = {}
+        for number, name in enumerate(NAMES):
+            config = settings.Settings(name, "riga-a", key=b"an example's key")
+            self.nodes[name] = node.Node(config, seed + number)
+
+    def handle(self, name: str, event: events.Event) -> list[events.Action]:
+        """Let a node handle an event; deliver its messages and return the rest."""
+        rest: list[events.Action] = []
+        for action in self.nodes[name].handle(event, self.now):
+            if isinstance(action, events.SendPeer):
+                # Every control message is bytes, so that traffic can be counted.
+                self.control_bytes[name] += len(action.payload)
+                if action.peer in self.nodes:
+                    self.handle(action.peer, events.PeerMessage(name, action.payload))
+            elif not isinstance(action, events.Notice):
+                rest.append(action)
+        return rest
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass; the core reads no clock of its own."""
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            for name in list(self.nodes):
+                self.handle(name, events.Tick())
+
+    def send(self, packet: events.CallerPacket) -> tuple[str, events.SendUpstream]:
+        """Hand a caller's packet to some node; return the owner and its decision."""
+        names = sorted(self.nodes)
+        name = names[packet.flow[-1] % len(names)]
+        (action,) = self.handle(name, packet)
+        if isinstance(action, events.SendOwner):
+            relayed = events.RelayedPacket(name, *packet)
+            name = action.peer
+            (action,) = self.handle(name, relayed)
+        assert isinstance(action, events.SendUpstream), action
+        return name, action
+
+
+class Outcome(typing.NamedTuple):
+    """What the run showed."""
+
+    placed: dict[int, str]
+    moved: int
+    control_bytes: dict[str, int]
+    seconds: float
+
+
+def run_example(seed: int) -> Outcome:
+    """Open flows on three nodes, end one node and send data of every flow."""
+    host = Host(seed)
+    vms = tuple(events.Vm(name, "riga-a", f"{name}:1") for name in NAMES)
+    rows = tuple(
+        tables.Row(f"booking-{number}", f"127.0.0.1:{20_000 + number}", "riga-a")
+        for number in range(4)
+    )
+    for name in NAMES:
+        host.handle(name, events.VmsReceived(vms))
+        host.handle(name, events.TableReceived(tables.Table(SERVICE, 1, rows)))
+    host.advance(SETTLE_S)
+    placed: dict[int, str] = {}
+    for number in range(FLOWS):
+        opening = events.PacketKind.OPENING
+        packet = events.CallerPacket(SERVICE, bytes([number]), opening, number + 1)
+        owner, action = host.send(packet)
+        placed[number] = action.upstream
+        answer = events.UpstreamPacket(SERVICE, action.upstream, action.port)
+        host.handle(owner, answer)
+    host.advance(2.0)
+    del host.nodes[NAMES[0]]
+    host.advance(6.0)
+    moved = 0
+    for number, upstream in placed.items():
+        data = events.PacketKind.DATA
+        packet = events.CallerPacket(SERVICE, bytes([number]), data)
+        moved += host.send(packet)[1].upstream != upstream
+    return Outcome(placed, moved, dict(host.control_bytes), host.now)
+
+
+def main() -> None:
+    """Run the example and print what happened."""
+    outcome = run_example(int(sys.argv[1]) if len(sys.argv) > 1 else 1)
+    shares = collections.Counter(outcome.placed.values())
+    print(f"{FLOWS} flows placed: {dict(sorted(shares.items()))}")
+    print(f"after the end of {NAMES[0]}, {outcome.moved} reached another upstream")
+    for name, size in sorted(outcome.control_bytes.items()):
+        print(f"{name}: {size / outcome.seconds:.0f} control bytes/s")
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -6,7 +6,7 @@
 import sys
 from collections import abc
 
-ROOTS = ("src", "standins", "tests", "tools")
+ROOTS = ("examples", "src", "standins", "tests", "tools")
 
 
 def find_name_imports(path: pathlib.Path) -> abc.Iterator[str]:
--- /dev/null
+++ b/tools/slopes_control.py
@@ -0,0 +1,265 @@
+"""Bytes, store calls and processor time of the control process against its sizes."""
+
+import functools
+import random
+import typing
+
+import msgspec
+
+from pistachioshed.adapters import vmlist as vmlist_adapter
+from pistachioshed.core import controls, digests, distribution, events, link, tables
+from pistachioshed.operations import documents
+from pistachioshed.operations import status as status_documents
+from standins import vmlist
+from tests import builders, fleet, tablestore
+from tools import slopes_fit, slopes_scale
+
+NODES: typing.Final = (8, 50, 200)
+SERVICES: typing.Final = (2, 8, 32)
+RATES: typing.Final = (0.2, 1.0, 2.0)
+SETTLE_S: typing.Final = 6.0
+IDLE_S: typing.Final = 10.0
+OUTAGE_S: typing.Final = 20.0
+# The fake counts actions; these take several calls each: a read of the reporter key,
+# a lease and a transaction.
+CALLS_PER_ACTION: typing.Final = {"GrantLease": 3}
+
+
+class Rates(typing.NamedTuple):
+    """Per node: bytes per second in and out, and store calls per hour of the zone."""
+
+    mean_bytes_per_s: float
+    max_bytes_per_s: float
+    calls_per_node_hour: float
+    probes_per_s: float
+
+
+class Boot(typing.NamedTuple):
+    """The boot of one node in a running zone."""
+
+    seconds: float
+    bytes: float
+
+
+def count_calls(store: tablestore.FakeStore) -> int:
+    """Return the store calls so far."""
+    return sum(
+        count * CALLS_PER_ACTION.get(kind, 1) for kind, count in store.calls.items()
+    )
+
+
+def build_table(number: int, rows: int, version: int = 1) -> tables.Table:
+    """Return the table of a numbered service."""
+    return builders.build_table(f"service-{number:04}", rows, version)
+
+
+def build_fleet(nodes: int, services: int, rows: int = 0) -> fleet.Fleet:
+    """Return one settled zone whose tables have a number of rows."""
+    built = fleet.Fleet(1, {"zone": nodes})
+    for number in range(services):
+        built.write(build_table(number, rows or slopes_scale.ROWS_PER_SERVICE))
+    built.boot()
+    built.run(SETTLE_S)
+    return built
+
+
+@functools.cache
+def measure_idle(nodes: int, services: int) -> Rates:
+    """Measure a settled zone."""
+    return measure_rates(build_fleet(nodes, services), IDLE_S, 0.0)
+
+
+def measure_idle_bytes(services: int, field: str, nodes: int) -> float:
+    """Return one rate of a settled zone, the number of nodes last."""
+    rate: float = getattr(measure_idle(nodes, services), field)
+    return rate
+
+
+def measure_service_bytes(nodes: int, field: str, services: int) -> float:
+    """Return one rate of a settled zone, the number of services last."""
+    return measure_idle_bytes(services, field, nodes)
+
+
+@functools.cache
+def measure_edits(rate: float) -> Rates:
+    """Measure a zone of 8 while tables are edited at a rate."""
+    return measure_rates(build_fleet(8, 2), IDLE_S, rate)
+
+
+def measure_rates(built: fleet.Fleet, seconds: float, edits_per_s: float) -> Rates:
+    """Measure a settled zone for some time."""
+    built.bytes.clear()
+    built.probed.clear()
+    before = count_calls(built.store)
+    version = 1
+    for step in range(round(seconds)):
+        while version - 1 < edits_per_s * (step + 1):
+            version += 1
+            built.write(build_table(0, slopes_scale.ROWS_PER_SERVICE, version))
+        built.run(1.0)
+    count = len(built.nodes)
+    calls = (count_calls(built.store) - before) / seconds * 3_600 / count
+    rates = [built.bytes[name] / seconds for name in built.nodes]
+    probes = sum(built.probed.values()) / seconds / count
+    return Rates(sum(rates) / count, max(rates), calls, probes)
+
+
+@functools.cache
+def measure_edit(nodes: int) -> tuple[float, float]:
+    """Return the seconds until an edit is in force in a zone and its store calls.
+
+    The calls are those above the idle ones in the same time.
+    """
+    built = build_fleet(nodes, 2)
+    before = count_calls(built.store)
+    built.run(IDLE_S)
+    idle = count_calls(built.store) - before
+    built.write(build_table(0, slopes_scale.ROWS_PER_SERVICE, 2))
+    seconds = built.run_until(lambda: built.is_in_force(2, "service-0000"), 20.0)
+    built.run(IDLE_S - seconds)
+    return seconds, float(count_calls(built.store) - before - 2 * idle)
+
+
+@functools.cache
+def measure_outage(nodes: int) -> float:
+    """Return the store calls from an outage's start to 5 s after its end."""
+    built = build_fleet(nodes, 2)
+    before = count_calls(built.store)
+    built.store.down = True
+    built.run(OUTAGE_S)
+    built.heal()
+    built.run(5.0)
+    return float(count_calls(built.store) - before)
+
+
+@functools.cache
+def measure_boot(services: int) -> Boot:
+    """Measure a node that boots again in a zone of 8; the bytes are its own."""
+    built = build_fleet(8, services)
+    name = next(n for n in built.nodes if n not in built.store.watchers)
+    built.stop(name)
+    built.run(0.5)
+    built.bytes.clear()
+    built.boot(name)
+    want = {f"service-{number:04}": 1 for number in range(services)}
+    seconds = built.run_until(lambda: built.in_force[name] == want, 20.0)
+    return Boot(seconds, float(built.bytes[name]))
+
+
+def build_policy(services: int, nodes: int) -> distribution.Distributor:
+    """Return a booted policy that holds tables, beside peers."""
+    names = [f"zone-{number}" for number in range(nodes)]
+    policy = distribution.Distributor(controls.Settings(names[-1], "zone"), 1)
+    members = tuple(builders.build_member(name, "zone") for name in names)
+    policy.handle(controls.MembersReceived(members), 0.0)
+    for number in range(services):
+        table = build_table(number, slopes_scale.ROWS_PER_SERVICE)
+        policy.handle(controls.StoreTable(table, number + 1), 0.0)
+    policy.handle(controls.Tick(), 3.0)
+    return policy
+
+
+def measure_digest_us(services: int) -> tuple[float, ...]:
+    """Return the processor time to decode and take one digest."""
+    policy = build_policy(services, 8)
+    held = policy.catalogue.held
+    entries = tuple(
+        digests.Entry(name, 1, held[name].content, 1) for name in sorted(held)
+    )
+    digest = digests.Digest("zone-0", "zone", entries)
+    payload = digests.encode_message(digest, b"d", fleet.KEY)
+
+    def run() -> None:
+        for _ in range(50):
+            found = digests.decode_message(payload, b"d", fleet.KEY, digests.Digest)
+            policy.handle(controls.DigestReceived(found), 3.1)
+
+    return slopes_fit.time_us(run, 50)
+
+
+def measure_table_us(rows: int) -> tuple[float, ...]:
+    """Return the processor time to decode and take one table from the store."""
+    policy = build_policy(1, 8)
+    values = iter(
+        [
+            documents.encode_table(build_table(0, rows, version + 2))
+            for version in range(slopes_fit.RUNS)
+        ]
+    )
+    key = documents.make_table_key("service-0000")
+
+    def run() -> None:
+        table = documents.decode_table(key, next(values))
+        for action in policy.handle(controls.StoreTable(table, table.version), 3.1):
+            if isinstance(action, controls.Deliver):
+                link.encode_message(action.update)
+
+    return slopes_fit.time_us(run, 1)
+
+
+def measure_second_us(services: int, nodes: int) -> tuple[float, ...]:
+    """Return the processor time of one second of ticks and one digest sent."""
+    policy = build_policy(services, nodes)
+    # Each run goes on in time; silence of the peers comes after 3 s.
+    starts = iter(range(3, 100))
+
+    def run() -> None:
+        start = next(starts)
+        for tick in range(10):
+            now = start + tick / 10
+            for peer in list(policy.roster.subscribed):
+                policy.roster.note_digest(peer, (), now)
+            for action in policy.handle(controls.Tick(), now):
+                if isinstance(action, controls.Deliver):
+                    link.encode_message(action.update)
+                elif isinstance(action, controls.PublishDigest):
+                    digests.encode_message(action.digest, b"d", fleet.KEY)
+
+    return slopes_fit.time_us(run, 1)
+
+
+def measure_policy_memory(services: int) -> tuple[float, ...]:
+    """Return the bytes of a control policy that holds tables."""
+    return slopes_fit.count_memory(lambda: build_policy(services, 8))
+
+
+def encode_vms(count: int) -> bytes:
+    """Return a VM list as the platform's stand-in serves it."""
+    return msgspec.json.encode(
+        [
+            vmlist.ListedVm(f"entry-{n:04}", "zone-1", f"10.0.0.1:{n}", f"10.0.0.1:{n}")
+            for n in range(1, count + 1)
+        ]
+    )
+
+
+def measure_vms_us(count: int) -> tuple[float, ...]:
+    """Return the processor time to decode a VM list, take it and deliver it."""
+    policy = build_policy(2, 8)
+    body = encode_vms(count)
+
+    def run() -> None:
+        members = vmlist_adapter.decode_members(body)
+        for action in policy.handle(controls.MembersReceived(members), 3.1):
+            if isinstance(action, controls.Deliver):
+                link.encode_message(action.update)
+
+    return slopes_fit.time_us(run, 1)
+
+
+def measure_status_bytes(nodes: int, services: int) -> float:
+    """Return the bytes of a zone's status value."""
+    versions = {f"service-{number:04}": 1_000 for number in range(services)}
+    status = {f"entry-{number:04}": versions for number in range(nodes)}
+    document = status_documents.ZoneStatus(zone="zone", nodes=status)
+    return float(len(status_documents.encode_status(document)))
+
+
+def encode_link_vms(count: int) -> float:
+    """Return the bytes of the VM list on the local link."""
+    rng = random.Random(1)
+    vms = tuple(
+        events.Vm(f"entry-{n:04}", "zone-1", f"10.0.0.1:{n}", rng.random())
+        for n in range(count)
+    )
+    return float(len(link.encode_message(link.Update(vms=vms))))
--- /dev/null
+++ b/tools/slopes_fit.py
@@ -0,0 +1,151 @@
+"""Lines fitted to measurements, their extrapolation and its Markdown table."""
+
+import gc
+import statistics
+import time
+import tracemalloc
+import typing
+from collections import abc
+
+RUNS: typing.Final = 5
+LOOKUPS: typing.Final = 200_000
+
+
+class Sample(typing.NamedTuple):
+    """The values of one or several runs at one size."""
+
+    size: float
+    values: tuple[float, ...]
+
+
+class Series(typing.NamedTuple):
+    """A quantity measured at several sizes.
+
+    `target` is the size to extrapolate to, `budget` the most that is allowed there;
+    a `budget` of None has no limit of its own. `timed` values are in microseconds and
+    depend on the machine.
+    """
+
+    name: str
+    size_unit: str
+    unit: str
+    samples: tuple[Sample, ...]
+    target: float
+    budget: float | None = None
+    timed: bool = False
+
+
+class Line(typing.NamedTuple):
+    """A least-squares line; `residual` is the largest distance of a sample from it."""
+
+    slope: float
+    intercept: float
+    residual: float
+
+
+def fit_line(samples: abc.Sequence[Sample]) -> Line:
+    """Fit a line through the medians of the samples."""
+    sizes = [sample.size for sample in samples]
+    medians = [statistics.median(sample.values) for sample in samples]
+    slope, intercept = statistics.linear_regression(sizes, medians)
+    residual = max(
+        abs(median - slope * size - intercept)
+        for size, median in zip(sizes, medians, strict=True)
+    )
+    return Line(slope, intercept, residual)
+
+
+def extrapolate(series: Series) -> float:
+    """Return the line's value at the target size."""
+    line = fit_line(series.samples)
+    return line.slope * series.target + line.intercept
+
+
+def judge(value: float, budget: float | None) -> str:
+    """Return "pass" or "miss", or "-" without a budget."""
+    if budget is None:
+        return "-"
+    return "pass" if value <= budget else "miss"
+
+
+def format_header() -> str:
+    """Return the first two lines of the table."""
+    columns = (
+        "quantity",
+        "measured (size: median [range])",
+        "slope",
+        "intercept",
+        "residual",
+        "at size",
+        "extrapolation",
+        "budget",
+        "result",
+        "x baseline",
+    )
+    return f"| {' | '.join(columns)} |\n|{'---|' * len(columns)}"
+
+
+def format_series(series: Series, baseline_us: float) -> str:
+    """Return the line of the table for a series."""
+    line = fit_line(series.samples)
+    value = extrapolate(series)
+    budget = "-" if series.budget is None else f"{series.budget:,.5g}"
+    ratio = f"{value / baseline_us:,.0f}" if series.timed else "-"
+    cells = (
+        f"{series.name} ({series.unit})",
+        ", ".join(map(format_sample, series.samples)),
+        f"{line.slope:.4g}",
+        f"{line.intercept:.4g}",
+        f"{line.residual:.3g}",
+        f"{series.target:,.6g} {series.size_unit}",
+        f"{value:,.5g}",
+        budget,
+        judge(value, series.budget),
+        ratio,
+    )
+    return f"| {' | '.join(cells)} |"
+
+
+def format_sample(sample: Sample) -> str:
+    """Return a sample as text, with the range if there were several runs."""
+    text = f"{sample.size:g}: {statistics.median(sample.values):.4g}"
+    if len(sample.values) > 1:
+        text += f" [{min(sample.values):.3g}, {max(sample.values):.3g}]"
+    return text
+
+
+def time_us(
+    run: abc.Callable[[], object], count: int, runs: int = RUNS
+) -> tuple[float, ...]:
+    """Return the processor time of one of `count` steps of a run, per run."""
+    values = []
+    for _ in range(runs):
+        gc.collect()
+        begin = time.process_time()
+        run()
+        values.append((time.process_time() - begin) / count * 1e6)
+    return tuple(values)
+
+
+def count_memory(build: abc.Callable[[], object]) -> tuple[float]:
+    """Return the bytes that what a function returns or changes keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = build()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    del kept
+    return (float(size),)
+
+
+def measure_baseline() -> tuple[float, ...]:
+    """Return the processor time of one dict look-up in a bare loop, per run."""
+    known = {number: number for number in range(1_000)}
+
+    def run() -> None:
+        for number in range(LOOKUPS):
+            known[number % 1_000]
+
+    return time_us(run, LOOKUPS)
--- /dev/null
+++ b/tools/slopes_membership.py
@@ -0,0 +1,177 @@
+"""Control traffic between balancers, and the time to join, against their number."""
+
+import functools
+import time
+import typing
+from collections import abc
+
+from pistachioshed.core import gossip, wire
+from tests import fakes
+from tools import control_figures, slopes_fit, slopes_scale
+
+PEERS: typing.Final = (8, 50, 200, 450)
+SMALL: typing.Final = (8, 20, 50)
+SETTLE_S: typing.Final = 0.3
+IDLE_S: typing.Final = 3.0
+DRAIN_LIMIT_S: typing.Final = 60.0
+EXCEPTION_S: typing.Final = 20.0
+JOIN_LIMIT_S: typing.Final = 20.0
+
+
+class Idle(typing.NamedTuple):
+    """What a node sends and spends while nothing changes."""
+
+    bytes_per_s: float
+    messages_per_s: float
+    spent_us_per_s: float
+
+
+class CountingNetwork(fakes.Network):
+    """A network that counts the messages sent."""
+
+    messages = 0
+
+    def _send(self, name: str, outgoing: typing.Any, at: float) -> None:
+        self.messages += len(outgoing)
+        super()._send(name, outgoing, at)
+
+
+def build_network(count: int, spare: int = 0) -> CountingNetwork:
+    """Return active members that know each other; the last `spare` have not started.
+
+    Each is told of the others in one message, since hundreds of joins at the same
+    time would take most of the run.
+    """
+    network = CountingNetwork(1, count + spare)
+    for vm in network.vms[:count]:
+        network.start(vm.name).lifecycle.machine.activate(0.0)
+    known = tuple(
+        wire.Update(name, peer.membership.roster.own)
+        for name, peer in network.peers.items()
+    )
+    for name, peer in network.peers.items():
+        sender = next(update for update in known if update.name != name)
+        peer.membership.handle(sender.name, wire.Gossip(sender.claim, known), 0.0)
+        peer.membership.spreader = gossip.Spreader()
+        peer.note_view(0.0)
+    network.run(SETTLE_S)
+    for peer in network.peers.values():
+        peer.membership.spreader = gossip.Spreader()
+        # Each then holds an open session to each other, as after a while of service.
+        peer.replicator.sender.channels.clear()
+    return network
+
+
+@functools.cache
+def measure_idle(count: int) -> Idle:
+    """Measure a settled fleet; the time includes the fake network's."""
+    network = build_network(count)
+    network.sent_bytes.clear()
+    network.messages = 0
+    begin = time.process_time()
+    network.run(IDLE_S)
+    spent_us = (time.process_time() - begin) * 1e6
+    total = sum(network.sent_bytes.values())
+    per_node = IDLE_S * count
+    return Idle(total / per_node, network.messages / per_node, spent_us / per_node)
+
+
+def open_sessions(network: CountingNetwork) -> None:
+    """Let all replication sessions open, and clear the counts."""
+    for peer in network.peers.values():
+        peer.replicator.set_view(peer.view, network.now)
+    drain(network)
+    network.sent_bytes.clear()
+
+
+def drain(network: CountingNetwork) -> float:
+    """Let time pass until nothing waits for replication; return the seconds."""
+    network.run(1.0)
+    peers = network.peers.values()
+    return 1.0 + network.run(
+        DRAIN_LIMIT_S, lambda: all(not peer.replicator.pending() for peer in peers)
+    )
+
+
+@functools.cache
+def measure_sessions(count: int) -> tuple[float, float]:
+    """Return the seconds and bytes per node to open sessions to all peers."""
+    network = build_network(count)
+    for peer in network.peers.values():
+        peer.replicator.set_view(peer.view, network.now)
+    seconds = drain(network)
+    return seconds, count_replication(network) / count
+
+
+@functools.cache
+def measure_join(count: int) -> tuple[float, float]:
+    """Return the seconds to own flows and the bytes that all nodes sent meanwhile."""
+    network = build_network(count, spare=1)
+    open_sessions(network)
+    joiner = network.start(network.vms[-1].name)
+    seconds = network.run(JOIN_LIMIT_S, lambda: joiner.lifecycle.state == "active")
+    network.run(2.0)
+    idle = measure_idle(count).bytes_per_s * count * (seconds + 2.0)
+    return seconds, sum(network.sent_bytes.values()) - idle
+
+
+@functools.cache
+def measure_edit(count: int) -> float:
+    """Return the replication bytes that a node sends for one edit of a service."""
+    network = build_network(count)
+    open_sessions(network)
+    for peer in network.peers.values():
+        peer.replicator.close_generation("booking", 2)
+    drain(network)
+    return count_replication(network) / count
+
+
+def count_replication(network: CountingNetwork) -> int:
+    """Return the replication bytes that all nodes sent."""
+    return sum(
+        size for (_, kind), size in network.sent_bytes.items() if kind == "replication"
+    )
+
+
+def list_series() -> abc.Iterator[slopes_fit.Series]:
+    """Yield the series of control traffic."""
+    scale, series = slopes_scale, slopes_fit.Series
+    budget = scale.CONTROL_BYTES_PER_S
+
+    def sample(
+        sizes: abc.Iterable[float], measure: abc.Callable[[typing.Any], float]
+    ) -> tuple[slopes_fit.Sample, ...]:
+        return tuple(slopes_fit.Sample(size, (measure(size),)) for size in sizes)
+
+    found = sample(PEERS, lambda n: measure_idle(n).bytes_per_s)
+    for target in (scale.GROUP, scale.REGION_NODES, scale.NODES):
+        yield series("control bytes, idle", "peers", "B/s", found, target, budget)
+    found = sample(PEERS, lambda n: measure_idle(n).messages_per_s)
+    yield series("membership messages sent", "peers", "1/s", found, scale.GROUP)
+    found = sample(SMALL, lambda n: measure_sessions(n)[0])
+    for target in (scale.GROUP, scale.REGION_NODES):
+        yield series("all replication sessions open", "peers", "s", found, target)
+    found = sample(SMALL, lambda n: measure_sessions(n)[1])
+    yield series("bytes to open them, a node", "peers", "B", found, scale.GROUP)
+    found = sample(SMALL, measure_edit)
+    for target in (scale.GROUP, scale.REGION_NODES):
+        yield series("control bytes of an edit", "peers", "B", found, target)
+    found = sample(
+        (2.0, 5.0, 10.0),
+        lambda n: control_figures.measure_exceptions(n, EXCEPTION_S)[1],
+    )
+    away = scale.NEW_FLOWS_PER_NODE_S / 10
+    yield series(
+        "control bytes for exceptions", "exceptions/s", "B/s", found, away, budget
+    )
+    found = sample(SMALL, lambda n: measure_join(n)[0])
+    yield series("join until owner", "peers", "s", found, scale.GROUP)
+    found = sample(SMALL, lambda n: measure_join(n)[1])
+    yield series("bytes of a join, all nodes", "peers", "B", found, scale.GROUP)
+    found = sample(PEERS, lambda n: measure_idle(n).spent_us_per_s)
+    core_us = scale.CORE_SHARE * 1e6
+    for target in (scale.GROUP, scale.REGION_NODES):
+        yield series(
+            "membership per node and second, with the fake network",
+            "peers", "us", found, target, core_us, True,
+        )  # fmt: skip
--- /dev/null
+++ b/tools/slopes_scale.py
@@ -0,0 +1,34 @@
+"""The size to design for, and the sizes per node that follow from it."""
+
+import typing
+
+NODES: typing.Final = 3_200
+HOSTS: typing.Final = 38_000
+SERVICES: typing.Final = 4_100
+FLOWS: typing.Final = 34_000_000
+NEW_FLOWS_PER_S: typing.Final = 200_000
+REGIONS: typing.Final = 7
+ZONES: typing.Final = 16
+EDITS_PER_DAY: typing.Final = 14_000
+EDIT_LIMIT_S: typing.Final = 4.0
+
+CORE_SHARE: typing.Final = 0.015
+MEMORY_BYTES: typing.Final = 256 * 1024 * 1024
+CONTROL_BYTES_PER_S: typing.Final = 9_000.0
+
+# Balancers that share addresses: the sum over peers in the choice of an owner bounds
+# the group, and 64 groups divide 3,200 nodes and 4,100 addresses evenly.
+GROUP: typing.Final = 50
+GROUPS: typing.Final = NODES // GROUP
+ZONE_NODES: typing.Final = NODES // ZONES
+REGION_NODES: typing.Final = -(-NODES // REGIONS)
+# A group lies in one region and is spread over its two or three zones.
+GROUP_NODES_PER_ZONE: typing.Final = round(GROUP * REGIONS / ZONES)
+ROWS_PER_SERVICE: typing.Final = round(HOSTS / SERVICES)
+SERVICES_PER_GROUP: typing.Final = -(-SERVICES // GROUPS)
+ROWS_PER_GROUP: typing.Final = -(-HOSTS // GROUPS)
+FLOWS_PER_NODE: typing.Final = FLOWS // NODES
+NEW_FLOWS_PER_NODE_S: typing.Final = NEW_FLOWS_PER_S / NODES
+EDITS_PER_S: typing.Final = EDITS_PER_DAY / 86_400
+# A tenth of the flows held away from home is an assumption to size by, not measured.
+EXCEPTIONS: typing.Final = FLOWS_PER_NODE // 10
--- /dev/null
+++ b/tools/slopes_store.py
@@ -0,0 +1,144 @@
+"""Store calls and values, zones that boot at once, and memory of whole processes."""
+
+import functools
+import subprocess
+import sys
+import typing
+from collections import abc
+
+from pistachioshed.core import tables
+from pistachioshed.operations import commits, documents, edits
+from tests import fleet, storefakes
+from tools import slopes_control, slopes_fit, slopes_scale
+
+NODES: typing.Final = (8, 50, 200)
+OUTAGES_S: typing.Final = (30.0, 60.0, 120.0)
+SERVICES: typing.Final = 2
+BOOT_LIMIT_S: typing.Final = 60.0
+# The peak of the process itself; `getrusage` starts at that of the parent process.
+PRINT_PEAK: typing.Final = """
+import importlib, pathlib, sys
+importlib.import_module(sys.argv[1])
+status = pathlib.Path("/proc/self/status").read_text()
+print(status.split("VmHWM:")[1].split()[0])
+"""
+
+
+class ZoneBoot(typing.NamedTuple):
+    """A whole zone that boots at once, beside a zone that serves.
+
+    `bytes` are those of the busiest node that boots.
+    """
+
+    seconds: float
+    bytes: float
+    calls: float
+
+
+def count_operator_calls(adds_row: bool) -> float:
+    """Return the store calls of one edit by the operators' command."""
+    fixture = storefakes.StoreFixture()
+    author = commits.Author("operator", "")
+    rows = slopes_control.build_table(0, 10).rows
+    first = tables.Edit("first", rows[:9])
+    fixture.run(edits.create_table(fixture.store, "service-0000", first, author))
+    before = sum(fixture.state.calls.values())
+    changed = rows[9] if adds_row else rows[0]._replace(weight=2.0)
+    second = tables.Edit("second", (changed,))
+    fixture.run(edits.apply_edit(fixture.store, "service-0000", second, 1, author))
+    return float(sum(fixture.state.calls.values()) - before)
+
+
+def count_watch_calls(outage_s: float) -> float:
+    """Return how often one open watch is opened again in an outage."""
+    fixture = storefakes.StoreFixture()
+    watch = fixture.store.watch(documents.TABLES_PREFIX, 1, lambda batch: None)
+    fixture.advance(1.0)
+    before = len(fixture.agent.asked)
+    fixture.agent.refused.add("127.0.0.1:1")
+    fixture.set_faults(silence_watches=True)
+    fixture.advance(outage_s)
+    fixture.agent.refused.clear()
+    fixture.advance(3.0)
+    watch.stop()
+    return float(len(fixture.agent.asked) - before)
+
+
+def count_table_bytes(rows: int) -> float:
+    """Return the bytes of a table's value in the store."""
+    return float(len(documents.encode_table(slopes_control.build_table(0, rows))))
+
+
+@functools.cache
+def measure_zone_boot(nodes: int, store_down: bool) -> ZoneBoot:
+    """Boot a zone at once beside another one of 8."""
+    built = fleet.Fleet(1, {"old": 8, "zone": nodes})
+    for number in range(SERVICES):
+        table = slopes_control.build_table(number, slopes_scale.ROWS_PER_SERVICE)
+        built.write(table)
+    zone = [name for name, found in built.zones.items() if found == "zone"]
+    built.boot(*(name for name, found in built.zones.items() if found == "old"))
+    built.run(slopes_control.SETTLE_S)
+    built.store.down = store_down
+    built.bytes.clear()
+    before = slopes_control.count_calls(built.store)
+    built.boot(*zone)
+    seconds = built.run_until(
+        lambda: built.is_in_force(1, "service-0000"), BOOT_LIMIT_S
+    )
+    calls = slopes_control.count_calls(built.store) - before
+    return ZoneBoot(seconds, max(built.bytes[name] for name in zone), calls)
+
+
+def measure_process_bytes(module: str) -> int:
+    """Return the peak resident memory of a process that imports a module."""
+    ended = subprocess.run(
+        [sys.executable, "-c", PRINT_PEAK, module],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    return int(ended.stdout) * 1_024
+
+
+def list_series() -> abc.Iterator[slopes_fit.Series]:
+    """Yield the series of the store and of mass restarts."""
+    scale, series = slopes_scale, slopes_fit.Series
+    zone = scale.ZONE_NODES
+
+    def sample(
+        sizes: abc.Iterable[float], measure: abc.Callable[[typing.Any], float]
+    ) -> tuple[slopes_fit.Sample, ...]:
+        return tuple(slopes_fit.Sample(size, (measure(size),)) for size in sizes)
+
+    found = sample((10, 100, 1_000), count_table_bytes)
+    yield series("value of a table", "rows", "B", found, tables.MAX_ROWS, 1e6)
+    yield series("values of all tables, one read", "rows", "B", found, scale.HOSTS)
+    found = sample(OUTAGES_S, count_watch_calls)
+    yield series("calls of one open watch in an outage", "s", "calls", found, 3_600)
+    for name, down in (("", False), (", store down", True)):
+        for index, (field, unit) in enumerate(
+            (("in force", "s"), ("bytes of its busiest node", "B"), ("calls", "calls"))
+        ):
+            found = sample(
+                NODES, functools.partial(get_zone_boot, index=index, store_down=down)
+            )
+            title = f"zone boots at once{name}: {field}"
+            yield series(title, "nodes of a zone", unit, found, zone)
+
+
+def get_zone_boot(nodes: int, index: int, store_down: bool) -> float:
+    """Return one field of a zone's boot."""
+    return float(measure_zone_boot(nodes, store_down)[index])
+
+
+def describe_counts() -> abc.Iterator[str]:
+    """Yield sentences on what has no size to fit a line against."""
+    changing, adding = count_operator_calls(False), count_operator_calls(True)
+    yield (
+        f"Store calls of an edit by the operators' command: {changing:g} to change a "
+        f"row, {adding:g} to add one."
+    )
+    for module in ("pistachioshed.apps.balancer", "pistachioshed.apps.control"):
+        size = measure_process_bytes(module) / 2**20
+        yield f"Peak resident memory after the import of {module}: {size:.1f} MiB."
