Pass exceptions of former owners on without their flows

The second owner had the exception but never saw the flow, and control messages name a flow by a fingerprint from which the next owner could not be told. Ruled out: an incomplete flush (the exception reached the second owner), a skipped table version (all three were kept). Change: owners are chosen by the fingerprint. After a change of owners a node takes over the exceptions of former owners that it owns now, replicates them, hands them over and flushes them as its own, for the idle time at most. Where two owners hold a flow while their views differ, the withdrawal of one no longer deletes what the other sent; without this 2 of 6 random histories lost exceptions.

--- a/src/pistachioshed/core/channel.py
+++ b/src/pistachioshed/core/channel.py
@@ -144,7 +144,7 @@
         def fits(flow: bytes) -> bool:
             nonlocal room
             upstream = upstreams((service, flow))
-            cost = wire.FINGERPRINT_BYTES if upstream else 0
+            cost = hashing.FINGERPRINT_BYTES if upstream else 0
             if upstream and upstream not in groups:
                 cost += GROUP_OVERHEAD_BYTES + len(upstream.encode())
             if cost > room and flows:
@@ -160,8 +160,8 @@
             del self.urgent[service, flow]
         removals = []
         for name, mark in self.removals:
-            if name == service and room >= wire.FINGERPRINT_BYTES:
-                room -= wire.FINGERPRINT_BYTES
+            if name == service and room >= hashing.FINGERPRINT_BYTES:
+                room -= hashing.FINGERPRINT_BYTES
                 removals.append(mark)
         for mark in removals:
             del self.removals[service, mark]
@@ -172,7 +172,7 @@
     def _cancel_removal(self, service: str, flow: bytes) -> bool:
         if not self.removals:
             return False
-        key = (service, fingerprint_flow(service, flow))
+        key = (service, flow)
         if key not in self.removals:
             return False
         del self.removals[key]
@@ -206,9 +206,3 @@
             self.bulks.remove(bulk)
             return bulk.version
         return 0
-
-
-def fingerprint_flow(service: str, flow: bytes) -> bytes:
-    """Return the truncated fingerprint that batches carry for a flow."""
-    whole = hashing.fingerprint_flow(service, flow).to_bytes(8, "big")
-    return whole[: wire.FINGERPRINT_BYTES]
--- a/src/pistachioshed/core/hashing.py
+++ b/src/pistachioshed/core/hashing.py
@@ -7,6 +7,11 @@
 
 import xxhash
 
+# 48 bits of the flow's fingerprint. A successor with 100,000 received exceptions that
+# looks up 40,000 unknown flows after a death then expects one false match in 70,000
+# take-overs (one in 270 with 40 bits, one in each with 32). A false match breaks a
+# flow; each further byte costs a sixth of the exceptions that the budget can carry.
+FINGERPRINT_BYTES: typing.Final = 6
 HASH_RANGE: typing.Final = 2.0**64
 # The 52 high bits of a digest plus a half are exact as a float, so that the quotient
 # stays below 1 and its logarithm below 0.
@@ -78,6 +83,10 @@
     return xxhash.xxh3_64_intdigest(key, ~hash_name(name) & MASK_64) / HASH_RANGE
 
 
-def fingerprint_flow(service: str, flow: bytes) -> int:
-    """Return the 64-bit fingerprint that control messages use for a flow."""
-    return xxhash.xxh3_64_intdigest(flow, hash_name(service))
+def fingerprint_flow(service: str, flow: bytes) -> bytes:
+    """Return the fingerprint that names a flow in control messages.
+
+    Owners are chosen by it too, so that a balancer can tell the owner of a flow that
+    it knows from a control message only.
+    """
+    return xxhash.xxh3_64_digest(flow, hash_name(service))[:FINGERPRINT_BYTES]
--- a/src/pistachioshed/core/inbox.py
+++ b/src/pistachioshed/core/inbox.py
@@ -3,7 +3,7 @@
 import typing
 from collections import abc
 
-from pistachioshed.core import wire
+from pistachioshed.core import adoption, hashing, wire
 
 # About 15 MB. With 8 equal balancers this node is the backup of a seventh of every
 # other one's exceptions, that is of 100,000 when each holds that many.
@@ -47,6 +47,9 @@
     def __init__(self, idle_s: float) -> None:
         self.idle_s = idle_s
         self.received: dict[str, dict[bytes, Binding]] = {}
+        # Two owners may hold a flow while their views differ, and one of them withdraws
+        # its exception later; the other's then counts again.
+        self.shadowed: dict[tuple[str, bytes], list[Binding]] = {}
         self.sources: dict[str, Source] = {}
         self.retired: list[Source] = []
         self.owners: frozenset[str] = frozenset()
@@ -63,6 +66,13 @@
         source = self.sources.get(owner)
         return source.complete.get(service, 0) if source is not None else 0
 
+    def list_orphans(self) -> abc.Iterator[adoption.Orphan]:
+        """Yield what owners sent that are no longer active."""
+        for service, flows in list(self.received.items()):
+            for mark, binding in list(flows.items()):
+                if binding.source.gone_at is not None:
+                    yield adoption.Orphan(service, mark, binding.upstream)
+
     def apply(self, owner: str, batch: wire.Batch, now: float) -> None:
         """Take a batch unless a newer one was taken before."""
         source = self._get_source(owner, batch.session, now)
@@ -75,11 +85,7 @@
         source.number = batch.number
         flows = self.received.setdefault(batch.service, {})
         for mark in _split(batch.removals):
-            binding = flows.get(mark)
-            # The flow may have moved to another owner that replicates it by now.
-            if binding is not None and binding.source is source:
-                del flows[mark]
-                self.count -= 1
+            self._withdraw(source, batch.service, mark)
         for upstream, marks in batch.puts.items():
             binding = source.bind(upstream)
             for mark in _split(marks):
@@ -88,10 +94,48 @@
                         self.refused += 1
                         continue
                     self.count += 1
+                else:
+                    self._shadow(source, batch.service, mark)
                 flows[mark] = binding
         if batch.complete:
             self._mark(source, batch.service, batch.complete)
 
+    def _withdraw(self, source: Source, service: str, mark: bytes) -> None:
+        flows = self.received[service]
+        binding = flows.get(mark)
+        others = self._drop_shadowed(source, service, mark)
+        # The flow may have moved to another owner that replicates it by now.
+        if binding is None or binding.source is not source:
+            return
+        if others:
+            flows[mark] = others[-1]
+            self._drop_shadowed(others[-1].source, service, mark)
+        else:
+            del flows[mark]
+            self.count -= 1
+
+    def _shadow(self, source: Source, service: str, mark: bytes) -> None:
+        """Keep the binding of another active owner behind that of a source."""
+        self._drop_shadowed(source, service, mark)
+        binding = self.received[service][mark]
+        if binding.source is not source and binding.source.gone_at is None:
+            self._drop_shadowed(binding.source, service, mark)
+            self.shadowed.setdefault((service, mark), []).append(binding)
+
+    def _drop_shadowed(
+        self, source: Source, service: str, mark: bytes
+    ) -> list[Binding]:
+        """Forget a source's shadowed binding; return those of other active owners."""
+        bindings = self.shadowed.pop((service, mark), [])
+        others = [
+            binding
+            for binding in bindings
+            if binding.source is not source and binding.source.gone_at is None
+        ]
+        if others:
+            self.shadowed[service, mark] = others
+        return others
+
     def complete(
         self, owner: str, session: int, versions: abc.Mapping[str, int], now: float
     ) -> None:
@@ -156,5 +200,5 @@
 
 
 def _split(marks: bytes) -> abc.Iterator[bytes]:
-    size = wire.FINGERPRINT_BYTES
+    size = hashing.FINGERPRINT_BYTES
     return (marks[at : at + size] for at in range(0, len(marks) - size + 1, size))
--- a/src/pistachioshed/core/node.py
+++ b/src/pistachioshed/core/node.py
@@ -8,7 +8,6 @@
 from pistachioshed.core import (
     events,
     flows,
-    hashing,
     peering,
     placement,
     service,
@@ -109,7 +108,7 @@
         flow = state.table.flows.get(event.flow)
         if flow is not None and event.kind and not self.peering.hands_over:
             return self._forward(event, flow, now)
-        owner = hashing.find_best(event.flow, self.peering.owners)
+        owner = self.peering.find_owner(event.service, event.flow)
         if owner == self.config.name:
             return self._handle_owned(event, state, now)
         if owner is None:
@@ -124,7 +123,7 @@
             return self._drop("unknown service")
         if self.peering.hands_over:
             # The sender's view lags; the flow is with its successor by now.
-            owner = hashing.find_best(event.flow, self.peering.owners)
+            owner = self.peering.find_owner(event.service, event.flow)
             if owner not in (None, event.peer):
                 return self._relay(event, state, owner, now)
         flow = state.table.flows.get(event.flow)
@@ -163,7 +162,7 @@
             return self._drop("waking")
         bound: flows.Flow | events.RefuseOpening | events.DropPacket
         if event.kind:
-            previous = self.peering.find_previous_owner(event.flow)
+            previous = self.peering.find_previous_owner(event.service, event.flow)
             bound = state.resume_flow(event.flow, previous, now)
         else:
             changed_at = max(
--- a/src/pistachioshed/core/peering.py
+++ b/src/pistachioshed/core/peering.py
@@ -117,10 +117,16 @@
         """Return the names of the balancers that own flows."""
         return tuple(owner.name for owner in self.owners)
 
-    def find_previous_owner(self, key: bytes) -> str | None:
+    def find_owner(self, service: str, flow: bytes) -> str | None:
+        """Return the balancer that owns a flow, None if there is no owner."""
+        fingerprint = hashing.fingerprint_flow(service, flow)
+        return hashing.find_best(fingerprint, self.owners)
+
+    def find_previous_owner(self, service: str, flow: bytes) -> str | None:
         """Return the last other balancer that owned a flow in a past view."""
+        fingerprint = hashing.fingerprint_flow(service, flow)
         for owners in reversed(self.past_owners):
-            owner = hashing.find_best(key, owners)
+            owner = hashing.find_best(fingerprint, owners)
             if owner != self.config.name:
                 return owner
         return None
--- a/src/pistachioshed/core/replication.py
+++ b/src/pistachioshed/core/replication.py
@@ -8,6 +8,7 @@
 from collections import abc
 
 from pistachioshed.core import (
+    adoption,
     channel,
     hashing,
     inbox,
@@ -45,6 +46,7 @@
         self.closed: dict[str, int] = {}
         self.lost_peers: set[str] = set()
         self.scan: abc.Iterator[channel.Key] | None = None
+        self.adoption = adoption.Adoption(settings.flow_idle_s)
         self.unqueued = False
         self.unsent = 0
         self.flush_until: float | None = None
@@ -56,6 +58,11 @@
 
     def put(self, service: str, flow: bytes, upstream: str) -> None:
         """Replicate that a flow of this owner has an upstream other than its home."""
+        fingerprint = hashing.fingerprint_flow(service, flow)
+        self.adoption.forget(service, fingerprint)
+        self._put(service, fingerprint, upstream, moved=False)
+
+    def _put(self, service: str, flow: bytes, upstream: str, moved: bool) -> None:
         flows = self.exceptions.setdefault(service, {})
         entry = flows.get(flow)
         if entry is not None and entry.upstream == upstream:
@@ -65,12 +72,17 @@
             entry.target = self._choose_target(flow)
         entry.upstream = upstream
         if entry.target:
-            self._queue(entry, service, flow, moved=False)
+            self._queue(entry, service, flow, moved)
         for name in self.joiners.find_owners(service, flow, self.choices):
             self.sender.get_channel(name).add(service, flow)
 
     def remove(self, service: str, flow: bytes) -> None:
         """Withdraw an exception whose flow ended or went back to its home."""
+        fingerprint = hashing.fingerprint_flow(service, flow)
+        self.adoption.forget(service, fingerprint)
+        self._remove(service, fingerprint)
+
+    def _remove(self, service: str, flow: bytes) -> None:
         entry = self.exceptions.get(service, {}).pop(flow, None)
         if entry is None:
             return
@@ -80,7 +92,7 @@
 
     def find(self, service: str, flow: bytes) -> str | None:
         """Return the upstream of a flow that another owner replicated here."""
-        return self.inbox.find(service, channel.fingerprint_flow(service, flow))
+        return self.inbox.find(service, hashing.fingerprint_flow(service, flow))
 
     def complete_through(self, service: str, owner: str) -> int:
         """Return the newest version whose exceptions an owner completed here, or 0."""
@@ -105,6 +117,7 @@
                 del self.sender.channels[name]
                 self.lost_peers.add(name)
         self.inbox.set_owners(names, now)
+        self.adoption.start(self.inbox.list_orphans())
         self._start_scan()
 
     def pending(self) -> int:
@@ -117,7 +130,7 @@
 
     def is_flushed(self) -> bool:
         """Tell whether every exception is at its successor."""
-        return self.scan is None and not self.unqueued and self.pending() == 0
+        return self._is_settled() and self.pending() == 0
 
     def begin_handover(self, now: float) -> None:
         """Ask the active owners for the exceptions that this node will own."""
@@ -165,6 +178,7 @@
         """Return the batches that are due within the budget."""
         self.sender.refill(now)
         self.inbox.expire(now)
+        self._adopt_orphans(now)
         self._advance_scan()
         out: list[wire.Outgoing] = []
         for name in self.joiners.expire(now):
@@ -175,6 +189,24 @@
         out += self.joiners.request({choice.name for choice in self.others}, now)
         return out
 
+    def _is_settled(self) -> bool:
+        """Tell whether every exception is queued for the peers that need it."""
+        return self.scan is None and self.adoption.is_done and not self.unqueued
+
+    def _adopt_orphans(self, now: float) -> None:
+        """Take over the exceptions of former owners whose flows this node owns now."""
+        for orphan in self.adoption.take(SCAN_SLICE):
+            service, flow, upstream = orphan
+            is_known = flow in self.exceptions.get(service, {})
+            if not is_known and self._owns(flow):
+                self._put(service, flow, upstream, moved=True)
+                self.adoption.note(service, flow, now)
+        for service, flow in self.adoption.expire(now):
+            self._remove(service, flow)
+
+    def _owns(self, flow: bytes) -> bool:
+        return hashing.find_best(flow, self.choices) == self.settings.name
+
     def _choose_target(self, flow: bytes) -> str:
         ranked = hashing.rank_choices(flow, self.others)
         return ranked[0] if ranked else ""
@@ -203,7 +235,7 @@
         peer = self.sender.channels.get(name)
         if peer is not None:
             peer.discard(service, flow)
-            peer.removals[service, channel.fingerprint_flow(service, flow)] = None
+            peer.removals[service, flow] = None
 
     def _mark_closed(self) -> None:
         """Queue the marks that peers lack, and open the channels that are new."""
@@ -260,8 +292,7 @@
     def _finish_handover(
         self, name: str, now: float, repeat: bool
     ) -> list[wire.Outgoing]:
-        is_idle = self.scan is None and not self.unqueued
-        if not is_idle or self.sender.count_pending(name):
+        if not self._is_settled() or self.sender.count_pending(name):
             return []
         session = self.joiners.finish(name, repeat)
         if not session:
--- a/src/pistachioshed/core/sender.py
+++ b/src/pistachioshed/core/sender.py
@@ -3,7 +3,7 @@
 import typing
 from collections import abc
 
-from pistachioshed.core import budget, channel, settings, wire
+from pistachioshed.core import budget, channel, hashing, settings, wire
 
 # After a batch a peer's exceptions are gathered this long: at 8 nodes and a few
 # exceptions per second, headers would otherwise take up most of the budget.
@@ -174,7 +174,7 @@
         return self._get_bucket(name, now).tokens >= size
 
     def _estimate_size(self, peer: channel.Channel) -> int:
-        return channel.BATCH_OVERHEAD_BYTES + peer.queued * wire.FINGERPRINT_BYTES
+        return channel.BATCH_OVERHEAD_BYTES + peer.queued * hashing.FINGERPRINT_BYTES
 
     def _send_batch(self, name: str, now: float) -> wire.Outgoing:
         peer = self.channels[name]
@@ -205,6 +205,5 @@
                 continue
             if entry.target == name:
                 entry.sent = True
-            mark = channel.fingerprint_flow(content.service, flow)
-            groups.setdefault(entry.upstream, []).append(mark)
-        return {upstream: b"".join(marks) for upstream, marks in groups.items()}
+            groups.setdefault(entry.upstream, []).append(flow)
+        return {upstream: b"".join(found) for upstream, found in groups.items()}
--- a/src/pistachioshed/core/wire.py
+++ b/src/pistachioshed/core/wire.py
@@ -10,11 +10,6 @@
 TAG_BYTES: typing.Final = 8
 MAX_KEY_BYTES: typing.Final = 64
 MAX_PAYLOAD_BYTES: typing.Final = 65_535
-# 48 bits of the flow's fingerprint. A successor with 100,000 received exceptions that
-# looks up 40,000 unknown flows after a death then expects one false match in 70,000
-# take-overs (one in 270 with 40 bits, one in each with 32). A false match breaks a
-# flow; each further byte costs a sixth of the exceptions that the budget can carry.
-FINGERPRINT_BYTES: typing.Final = 6
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
--- a/src/pistachioshed/lab/faults.py
+++ b/src/pistachioshed/lab/faults.py
@@ -466,7 +466,8 @@
                 lines.append((record.invoked_s, f"{record.request} {record.outcome}"))
     key = find_key(drill, flow)
     if key is not None:
-        lines += _trace_owners(drill, key)
+        service = flow.rpartition("-f")[0]
+        lines += _trace_owners(drill, hashing.fingerprint_flow(service, key))
     return [f"{at_s:7.3f} {text}" for at_s, text in sorted(lines)]
 
 
@@ -478,7 +479,7 @@
     return int(number).to_bytes(6, "big")
 
 
-def _trace_owners(drill: Drill, key: bytes) -> abc.Iterator[tuple[float, str]]:
+def _trace_owners(drill: Drill, fingerprint: bytes) -> abc.Iterator[tuple[float, str]]:
     for at_s, name, notice in drill.lab.fleet.notices:
         owners = notice.fields.get("owners")
         if notice.name == "view changed" and isinstance(owners, list):
@@ -489,4 +490,4 @@
                 if owner in vms
             ]
             if at_s >= FIRST_AT_S:
-                yield at_s, f"{name}: owner {hashing.find_best(key, choices)}"
+                yield at_s, f"{name}: owner {hashing.find_best(fingerprint, choices)}"
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -23,7 +23,9 @@
 def choose_owner(network: fakes.Network, flow: bytes, *without: str) -> str:
     """Return the owner of a flow among the started peers."""
     names = sorted(network.peers.keys() - set(without))
-    return hashing.rank_choices(flow, [hashing.Choice(n, 1.0) for n in names])[0]
+    fingerprint = hashing.fingerprint_flow(SERVICE, flow)
+    choices = [hashing.Choice(name, 1.0) for name in names]
+    return hashing.rank_choices(fingerprint, choices)[0]
 
 
 def put_all(network: fakes.Network, flows: abc.Iterable[bytes] = FLOWS) -> None:
@@ -64,8 +66,7 @@
     expected, held = {}, {}
     for name, peer in network.peers.items():
         assert peer.replicator.is_flushed()
-        for flow, entry in peer.replicator.exceptions.get(SERVICE, {}).items():
-            mark = channel.fingerprint_flow(SERVICE, flow)
+        for mark, entry in peer.replicator.exceptions.get(SERVICE, {}).items():
             expected[name, entry.target, mark] = entry.upstream
         for mark, binding in peer.replicator.inbox.received.get(SERVICE, {}).items():
             held[binding.source.owner, name, mark] = binding.upstream
@@ -210,7 +211,7 @@
     """Guards against exceptions of an earlier run that nobody withdraws."""
     store = inbox.Inbox(60.0)
     store.set_owners(["a"], 0.0)
-    mark = channel.fingerprint_flow(SERVICE, b"flow")
+    mark = hashing.fingerprint_flow(SERVICE, b"flow")
     store.apply("a", wire.Batch(1, 1, SERVICE, {"booking-1": mark}), 0.0)
     replicator = replication.Replicator(settings.Settings("a", "zone-0"))
     members = tuple(membership.Member(name, "", 1.0) for name in "ab")
@@ -248,7 +249,9 @@
     fresh: dict[str, list[bytes]] = {name: [] for name in names}
     for number in range(20_000):
         flow = number.to_bytes(6, "big")
-        fresh[hashing.rank_choices(flow, list(backups.values()))[0]].append(flow)
+        fingerprint = hashing.fingerprint_flow(SERVICE, flow)
+        backup = hashing.rank_choices(fingerprint, list(backups.values()))[0]
+        fresh[backup].append(flow)
     for flow in fresh[names[0]][:1_000]:
         replicator.put(SERVICE, flow, "booking-1")
     for _ in range(200):
@@ -333,7 +336,7 @@
 def test_old_batch_changes_nothing() -> None:
     """Guards against a delayed repetition that undoes a newer batch."""
     store = inbox.Inbox(60.0)
-    mark = channel.fingerprint_flow(SERVICE, b"flow")
+    mark = hashing.fingerprint_flow(SERVICE, b"flow")
     old = wire.Batch(1, 1, SERVICE, {"booking-1": mark})
     for batch in (old, wire.Batch(1, 2, SERVICE, {"booking-2": mark}), old):
         store.apply("entry-001", batch, 0.0)
@@ -352,7 +355,7 @@
     per_batch = 10_000
     for number in range(12):
         marks = b"".join(
-            (number * per_batch + at).to_bytes(wire.FINGERPRINT_BYTES, "big")
+            (number * per_batch + at).to_bytes(hashing.FINGERPRINT_BYTES, "big")
             for at in range(per_batch)
         )
         batch = wire.Batch(1, number, SERVICE, {"booking-1": marks})
@@ -385,3 +388,38 @@
     assert not owner.sender.get_channel("entry-001").marked
     network.run(60, lambda: backup.complete_through(SERVICE, "entry-000") == 2)
     assert backup.inbox.count == count
+
+
+def test_exception_outlives_two_owners_without_its_flow() -> None:
+    """Guards against a silent flow whose exception ends with its second owner."""
+    network = fakes.Network(5, 17)
+    network.start_all(5)
+    network.run(1.0)
+    put_all(network, FLOWS[:200])
+    network.run(5.0)
+    flow = FLOWS[0]
+    lost: list[str] = []
+    for _ in range(2):
+        lost.append(choose_owner(network, flow))
+        del network.peers[lost[-1]]
+        network.run(10.0)
+    found = network.peers[choose_owner(network, flow)].replicator.find(SERVICE, flow)
+    assert found == choose_upstream(flow)
+
+
+def test_adopted_exception_ends_when_its_flow_never_arrives() -> None:
+    """Guards against exceptions of ended flows that pass from owner to owner."""
+    network = fakes.Network(3, 18)
+    network.start_all(3)
+    network.run(1.0)
+    put_all(network, FLOWS[:100])
+    network.run(3.0)
+    first = next(iter(network.peers))
+    orphaned = [flow for flow in FLOWS[:100] if choose_owner(network, flow) == first]
+    assert orphaned
+    del network.peers[first]
+    network.run(150.0)
+    for peer in network.peers.values():
+        kept = peer.replicator.exceptions.get(SERVICE, {})
+        for flow in orphaned:
+            assert hashing.fingerprint_flow(SERVICE, flow) not in kept
