Wait with a join until the owners have the tables of the joiner

Cause: a joining balancer that starts with a newer table than an owner can not place that owner's flows, since it lacks the table before; this may happen when it starts while an edit spreads.

--- a/src/pistachioshed/core/joins.py
+++ b/src/pistachioshed/core/joins.py
@@ -177,12 +177,13 @@
             wire.Outgoing(name, message) for name in sorted(set(owners) - self.done)
         ]
 
-    def note_done(self, sender: str, message: wire.HandoverDone) -> bool:
-        """Take the end of a handover to this node; return False for an old one."""
-        if not self.own_number or message.session != self.own_number:
-            return False
+    def is_current(self, message: wire.HandoverDone) -> bool:
+        """Tell whether the end of a handover answers a request of this node."""
+        return bool(self.own_number) and message.session == self.own_number
+
+    def note_done(self, sender: str) -> None:
+        """Note that an owner handed over all that this node needs."""
         self.done.add(sender)
-        return True
 
     def is_done(self, owners: abc.Set[str]) -> bool:
         """Tell whether all owners finished."""
--- a/src/pistachioshed/core/replication.py
+++ b/src/pistachioshed/core/replication.py
@@ -44,6 +44,7 @@
         self.choices: list[hashing.Choice] = []
         self.others: list[hashing.Choice] = []
         self.closed: dict[str, int] = {}
+        self.first_closed: dict[str, int] = {}
         self.lost_peers: set[str] = set()
         self.scan: abc.Iterator[channel.Key] | None = None
         self.adoption = adoption.Adoption(settings.flow_idle_s)
@@ -101,6 +102,7 @@
     def close_generation(self, service: str, version: int) -> None:
         """Mark a version complete at the peers once all exceptions put so far are."""
         self.closed[service] = max(version, self.closed.get(service, 0))
+        self.first_closed.setdefault(service, version)
         if self.scan is None and not self.unqueued:
             self._mark_closed()
 
@@ -163,10 +165,12 @@
                     self._start_scan()
                 return self._finish_handover(peer, now, repeat=True)
             case wire.HandoverDone():
-                if self.joiners.note_done(peer, message):
+                if self.joiners.is_current(message):
                     self.inbox.complete(
                         peer, message.sender_session, message.complete, now
                     )
+                    if self._covers(message.complete):
+                        self.joiners.note_done(peer)
         return []
 
     def send_exceptions(self, now: float) -> list[wire.Outgoing]:
@@ -189,6 +193,17 @@
         out += self.joiners.request({choice.name for choice in self.others}, now)
         return out
 
+    def _covers(self, complete: abc.Mapping[str, int]) -> bool:
+        """Tell whether an owner listed its exceptions under tables that this node has.
+
+        A joining node lacks the tables before its first one, so that it can not place
+        flows by them. It asks again until the edit has reached the owner.
+        """
+        return all(
+            complete.get(service, 0) >= version
+            for service, version in self.first_closed.items()
+        )
+
     def _is_settled(self) -> bool:
         """Tell whether every exception is queued for the peers that need it."""
         return self.scan is None and self.adoption.is_done and not self.unqueued
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -175,6 +175,6 @@
                 other
                 for other in network.peers.values()
                 if other is not peer
-                and other.replicator.find("booking", flow) == "booking-1"
+                and other.replicator.inbox.find("booking", flow) == "booking-1"
             ]
             assert backups or len(live) == 1
