Ask the previous owner where this balancer lacks its table

Change: where the previous owner's closed table is not among the kept ones, there is no exception and the previous owner is active, the owner relays the packet to it; only an owner asks, and never the one that relayed, so a packet is relayed twice at most. Also: a deadline that ends a store call while it connects counts as not sent instead of escaping as a network error; the graceful stop test checks the planned leave in the log, since without it flows recover by path change and the test passed.

--- a/src/pistachioshed/adapters/gateway.py
+++ b/src/pistachioshed/adapters/gateway.py
@@ -107,6 +107,10 @@
         status, body = await exchange
     except NOT_SENT_ERRORS as cause:
         raise NotSent(str(cause)) from cause
+    except error.ConnectingCancelledError as cause:
+        if deadline.active():
+            raise defer.CancelledError() from cause
+        raise NotSent(f"not connected within {deadline_seconds} s") from cause
     except (defer.CancelledError, *CUT_ERRORS) as cause:
         if not deadline.active():
             raise NoAnswer(f"no answer within {deadline_seconds} s") from cause
--- a/src/pistachioshed/core/node.py
+++ b/src/pistachioshed/core/node.py
@@ -163,6 +163,8 @@
         bound: flows.Flow | events.RefuseOpening | events.DropPacket
         if event.kind:
             previous = self.peering.find_previous_owner(event.service, event.flow)
+            if previous is not None and self._must_ask(event, state, previous):
+                return [events.SendOwner(previous)]
             bound = state.resume_flow(event.flow, previous, now)
         else:
             changed_at = max(
@@ -180,6 +182,26 @@
             return self._drop(bound.reason)
         return [bound]
 
+    def _must_ask(
+        self,
+        event: events.CallerPacket | events.RelayedPacket,
+        state: service.Service,
+        previous: str,
+    ) -> bool:
+        """Tell whether only the previous owner can place a flow, and is there.
+
+        That is so where this node skipped the table that the previous owner's flows
+        are placed by. The packet is then relayed once more.
+        """
+        if previous not in self.peering.list_owners():
+            return False
+        if self.peering.find_owner(event.service, event.flow) != self.config.name:
+            # Only the owner asks; the one that it asks handles the packet.
+            return False
+        if isinstance(event, events.RelayedPacket) and event.peer == previous:
+            return False
+        return not state.can_place(event.flow, previous)
+
     def _forward(
         self,
         event: events.CallerPacket | events.RelayedPacket,
--- a/src/pistachioshed/core/service.py
+++ b/src/pistachioshed/core/service.py
@@ -142,6 +142,13 @@
             return events.DropPacket("no upstream for established flow")
         return self._bind(key, upstream, 0)
 
+    def can_place(self, key: bytes, previous_owner: str) -> bool:
+        """Tell whether this node knows where a previous owner's flow is bound."""
+        if self.exceptions.find(self.name, key) is not None:
+            return True
+        version = self.exceptions.complete_through(self.name, previous_owner)
+        return any(version == kept.version for kept in self.generations.kept)
+
     def close_flow(self, key: bytes, now: float) -> None:
         """Forget a flow and its exception, if there are any."""
         flow = self.table.flows.get(key)
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -1,6 +1,12 @@
 """The store adapter against the stand-in."""
 
+import typing
+
 import pytest
+import treq
+import treq.client
+from twisted.internet import defer, error, task
+from twisted.python import failure
 
 from pistachioshed.adapters import gateway
 from pistachioshed.ports import store
@@ -202,3 +208,28 @@
     assert batches[0].snapshot
     assert list_events(batches) == [("/t/a", 4), ("/t/b", 3), ("/t/c", 5)]
     watch.stop()
+
+
+class UnconnectedClient:
+    """An HTTP client whose connection attempt ends only by cancellation."""
+
+    def post(self, url: str, **fields: typing.Any) -> defer.Deferred[typing.Any]:
+        """Return a call that is still connecting."""
+
+        def cancel(call: defer.Deferred[typing.Any]) -> None:
+            call.errback(error.ConnectingCancelledError(None))
+
+        return defer.Deferred(cancel)
+
+
+def test_deadline_while_connecting_means_not_sent() -> None:
+    """Guards against a raw network error, and an unknown outcome without a send."""
+    clock = task.Clock()
+    client = typing.cast(treq.client.HTTPClient, UnconnectedClient())
+    call = defer.Deferred.fromCoroutine(
+        gateway.call(client, clock, "http://127.0.0.1:1/v3/kv/txn", {}, 2.0)
+    )
+    clock.advance(2.0)
+    assert isinstance(call.result, failure.Failure)
+    assert call.result.check(gateway.NotSent)
+    call.addErrback(lambda _: None)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -48,6 +48,8 @@
             playground.download(running.layout, FLOWS, SHEET_BYTES, SECONDS, stop),
         )
         assert running.supervisor.wait_for_end(name, LEFT_OVER_S) == 0
+        log = running.supervisor.read_tail(name, 200)
+    assert '"state":"left"' in log, "the balancer ended without its planned leave"
     assert [broken for _, broken in results if broken] == []
     assert all(whole > 0 for whole, _ in results)
 
