Share the start of the daemons and their settings parsers

Cause: both daemons read, listed and refused settings by the same lines, and parsed keys and addresses by the same functions. Change: apps/startup.py and the parsers in adapters/ini.py serve both.

--- a/src/pistachioshed/adapters/ini.py
+++ b/src/pistachioshed/adapters/ini.py
@@ -5,6 +5,11 @@
 import typing
 from collections import abc
 
+from pistachioshed.core import tables
+
+MIN_KEY_BYTES: typing.Final = 16
+MAX_KEY_BYTES: typing.Final = 64
+
 T = typing.TypeVar("T")
 Parse = abc.Callable[[str], object]
 Sections = dict[str, dict[str, str]]
@@ -159,3 +164,17 @@
     if text not in ("yes", "no"):
         raise ValueError(text)
     return text == "yes"
+
+
+def parse_key(text: str) -> bytes:
+    """Parse a shared key of 16 to 64 bytes in hexadecimal digits."""
+    key = bytes.fromhex(text)
+    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+        raise ValueError(text)
+    return key
+
+
+def parse_address_text(text: str) -> str:
+    """Check "ip:port" and return it unchanged."""
+    tables.parse_address(text)
+    return text
--- a/src/pistachioshed/apps/balancer.py
+++ b/src/pistachioshed/apps/balancer.py
@@ -1,6 +1,5 @@
 """The balancer daemon: packet path, membership and the link to the control process."""
 
-import pathlib
 import signal
 import time
 import typing
@@ -11,7 +10,7 @@
 
 from pistachioshed.adapters import datagrams, jsonlog, metrics, reactors
 from pistachioshed.adapters import link as links
-from pistachioshed.apps import balanceroptions
+from pistachioshed.apps import balanceroptions, startup
 from pistachioshed.core import events, node
 from pistachioshed.core import link as messages
 
@@ -173,27 +172,16 @@
 
 
 def run(
-    settings: typing.Annotated[
-        pathlib.Path | None,
-        typer.Option(help="Settings file (INI)."),
-    ] = None,
-    list_settings: typing.Annotated[
-        bool,
-        typer.Option("--list-settings", help="Print all settings and exit."),
-    ] = False,
+    settings: startup.SettingsOption = None,
+    list_settings: startup.ListOption = False,
 ) -> None:
     """Run a balancer of the fleet until SIGTERM, which stops it gracefully."""
-    if list_settings:
-        typer.echo("\n".join(balanceroptions.list_options()))
-        return
-    if settings is None:
-        raise typer.BadParameter("--settings FILE is required")
-    try:
-        checked = balanceroptions.read_balancer_settings(settings)
-    except ExceptionGroup as group:
-        for fault in group.exceptions:
-            typer.echo(str(fault), err=True)
-        raise typer.Exit(2) from group
+    checked = startup.read_or_exit(
+        settings,
+        list_settings,
+        balanceroptions.list_options,
+        balanceroptions.read_balancer_settings,
+    )
     raise typer.Exit(run_daemon(checked))
 
 
--- a/src/pistachioshed/apps/balanceroptions.py
+++ b/src/pistachioshed/apps/balanceroptions.py
@@ -8,8 +8,6 @@
 from pistachioshed.core import settings, tables
 
 Address = tuple[str, int]
-MIN_KEY_BYTES: typing.Final = 16
-MAX_KEY_BYTES: typing.Final = 64
 FREE_SECTIONS: typing.Final = ("services", "seeds")
 ADDRESS: typing.Final = "ip:port, with a port from 1 to 65535"
 
@@ -25,20 +23,6 @@
     seeds: dict[str, str]
 
 
-def parse_key(text: str) -> bytes:
-    """Parse a shared key of 16 to 64 bytes in hexadecimal digits."""
-    key = bytes.fromhex(text)
-    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
-        raise ValueError(text)
-    return key
-
-
-def parse_address_text(text: str) -> str:
-    """Check "ip:port" and return it unchanged."""
-    tables.parse_address(text)
-    return text
-
-
 def parse_share(text: str) -> float:
     """Parse a number from 0 to 1."""
     value = float(text)
@@ -102,25 +86,25 @@
     _make_option("zone", ini.parse_name, "1 to 63 characters", "availability zone"),
     _make_option(
         "peer_address",
-        parse_address_text,
+        ini.parse_address_text,
         ADDRESS,
         "where the other balancers reach this one, over UDP",
     ),
     _make_option(
         "control_address",
-        parse_address_text,
+        ini.parse_address_text,
         ADDRESS,
         "where this VM's control process listens for its balancer",
     ),
     _make_option(
         "metrics_address",
-        parse_address_text,
+        ini.parse_address_text,
         ADDRESS,
         "where /metrics is served over HTTP",
     ),
     _make_option(
         "key",
-        parse_key,
+        ini.parse_key,
         "16 to 64 bytes as hexadecimal digits",
         "key shared by all balancers of the deployment",
     )._replace(secret=True),
--- a/src/pistachioshed/apps/control.py
+++ b/src/pistachioshed/apps/control.py
@@ -2,7 +2,6 @@
 
 import functools
 import logging
-import pathlib
 import random
 import signal
 import time
@@ -24,7 +23,7 @@
     vmlist,
 )
 from pistachioshed.adapters import link as link_adapter
-from pistachioshed.apps import controldriver, controloptions
+from pistachioshed.apps import controldriver, controloptions, startup
 from pistachioshed.ports import peers
 
 HTTP_DEADLINE_S: typing.Final = 2.0
@@ -139,27 +138,16 @@
 
 
 def run(
-    settings: typing.Annotated[
-        pathlib.Path | None,
-        typer.Option(help="Settings file (INI)."),
-    ] = None,
-    list_settings: typing.Annotated[
-        bool,
-        typer.Option("--list-settings", help="Print all settings and exit."),
-    ] = False,
+    settings: startup.SettingsOption = None,
+    list_settings: startup.ListOption = False,
 ) -> None:
     """Run the control process of a VM until SIGTERM."""
-    if list_settings:
-        typer.echo("\n".join(controloptions.list_options()))
-        return
-    if settings is None:
-        raise typer.BadParameter("--settings FILE is required")
-    try:
-        checked = controloptions.read_control_settings(settings)
-    except ExceptionGroup as group:
-        for error in group.exceptions:
-            typer.echo(str(error), err=True)
-        raise typer.Exit(2) from group
+    checked = startup.read_or_exit(
+        settings,
+        list_settings,
+        controloptions.list_options,
+        controloptions.read_control_settings,
+    )
     run_daemon(checked)
 
 
--- a/src/pistachioshed/apps/controloptions.py
+++ b/src/pistachioshed/apps/controloptions.py
@@ -6,8 +6,6 @@
 from pistachioshed.adapters import ini
 from pistachioshed.core import controls, events, tables
 
-MIN_KEY_BYTES: typing.Final = 16
-MAX_KEY_BYTES: typing.Final = 64
 ADDRESS: typing.Final = "ip:port, with a port from 1 to 65535"
 NAME: typing.Final = "1 to 63 printable characters without spaces"
 SECONDS: typing.Final = "a number of seconds above 0"
@@ -27,20 +25,6 @@
     seeds: tuple[controls.Member, ...]
 
 
-def parse_key(text: str) -> bytes:
-    """Parse a shared key of 16 to 64 bytes in hexadecimal digits."""
-    key = bytes.fromhex(text)
-    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
-        raise ValueError(text)
-    return key
-
-
-def parse_address_text(text: str) -> str:
-    """Check "ip:port" and return it unchanged."""
-    tables.parse_address(text)
-    return text
-
-
 def parse_bus(text: str) -> str:
     """Check an "ip:port" whose next port exists too."""
     _, port = tables.parse_address(text)
@@ -51,7 +35,7 @@
 
 def parse_addresses(text: str) -> tuple[str, ...]:
     """Parse one or more "ip:port" separated by spaces."""
-    addresses = tuple(parse_address_text(part) for part in text.split())
+    addresses = tuple(ini.parse_address_text(part) for part in text.split())
     if not addresses:
         raise ValueError(text)
     return addresses
@@ -83,13 +67,13 @@
         ADDRESS,
         help="other controls subscribe here and fetch at the next port",
     ),
-    ini.Option("bus", "key", "key", parse_key, "32 to 128 hexadecimal digits"),
+    ini.Option("bus", "key", "key", ini.parse_key, "32 to 128 hexadecimal digits"),
     ini.Option("store", "addresses", "store_addresses", parse_addresses, ADDRESS),
     ini.Option("vms", "url", "vm_list_url", parse_url, "an http:// URL"),
     ini.Option(
         "vms", "interval_s", "vm_list_interval_s", ini.parse_positive, SECONDS, "2"
     ),
-    ini.Option("balancer", "link", "balancer_link", parse_address_text, ADDRESS),
+    ini.Option("balancer", "link", "balancer_link", ini.parse_address_text, ADDRESS),
     ini.Option("metrics", "address", "metrics_address", tables.parse_address, ADDRESS),
     ini.Option(
         "probes",
