--- a/src/pistachioshed/apps/lab.py
+++ b/src/pistachioshed/apps/lab.py
@@ -7,6 +7,7 @@
 
 from pistachioshed.lab import (
     deployments,
+    faultruns,
     faults,
     measures,
     policies,
@@ -76,9 +77,9 @@
     chosen = _find_choice(deployments.DEPLOYMENTS, [deployment], "--deployment")[0]
     _find_choice(faults.FAULTS, fault, "--fault")
     runs = failed = 0
-    for names in [tuple(fault)] if fault else faults.list_pairs():
+    for names in [tuple(fault)] if fault else faultruns.list_pairs():
         for seed in range(first_seed, first_seed + seeds):
-            result = faults.run_faults(names, seed, policies.build_core, chosen)
+            result = faultruns.run_faults(names, seed, policies.build_core, chosen)
             runs += 1
             if not result.violations:
                 continue
--- a/src/pistachioshed/lab/faults.py
+++ b/src/pistachioshed/lab/faults.py
@@ -6,7 +6,7 @@
 import typing
 from collections import abc
 
-from pistachioshed.core import events, hashing, records, tables, wire
+from pistachioshed.core import events, records, tables, wire
 from pistachioshed.lab import deployments, fleet, history, world
 
 FIRST_AT_S: typing.Final = 9.0
@@ -98,18 +98,6 @@
     inject: abc.Callable[[Drill], None]
 
 
-class Result(typing.NamedTuple):
-    """The outcome of one run."""
-
-    names: tuple[str, ...]
-    seed: int
-    bounds: history.Bounds
-    violations: tuple[history.Violation, ...]
-    opened: int
-    broken: int
-    trace: tuple[str, ...]
-
-
 def shrink_deployment(deployment: deployments.Deployment) -> deployments.Deployment:
     """Return a deployment with five balancers and a load that runs in a second."""
     services = tuple(
@@ -369,125 +357,3 @@
         Fault("noise", Kind.HARMLESS, send_noise),
     )
 }
-
-
-def choose_bounds(faults: abc.Iterable[Fault]) -> history.Bounds:
-    """Return what holds under some faults, besides what holds in all cases."""
-    kinds = [fault.kind for fault in faults]
-    calm = {Kind.PLANNED, Kind.HARMLESS}
-    if set(kinds) <= calm:
-        return history.Bounds(planned_only=True)
-    if Kind.PATH in kinds or kinds.count(Kind.DEATH) > 1:
-        return history.Bounds()
-    if Kind.DEATH in kinds and Kind.PLANNED in kinds:
-        return history.Bounds()
-    return history.Bounds(flows_stay=True)
-
-
-def list_pairs() -> list[tuple[str, ...]]:
-    """Return every fault alone and every pair, a fault with itself included."""
-    pairs = itertools.combinations_with_replacement(FAULTS, 2)
-    return [(name,) for name in FAULTS] + list(pairs)
-
-
-def run_faults(
-    names: abc.Sequence[str],
-    seed: int,
-    build: fleet.BuildNode,
-    deployment: deployments.Deployment = deployments.KRASOTAVA,
-) -> Result:
-    """Inject faults at overlapping times into a loaded deployment.
-
-    Parameters
-    ----------
-    names : sequence of str
-        The faults, keys of `FAULTS`.
-    seed : int
-        Seed of all randomness, the times of the faults included.
-    build : callable
-        Makes one balancer.
-    deployment : Deployment
-        Shrunk before use.
-
-    Returns
-    -------
-    Result
-        The violations, and a trace of the first of them.
-    """
-    drill = Drill(deployment, build, seed)
-    lab = drill.lab
-    lab.clock.schedule(LOAD_FROM_S, lambda: lab.start_load(LOAD_UNTIL_S))
-    faults = [FAULTS[name] for name in names]
-    for index, fault in enumerate(faults):
-        offset_s = drill.random.uniform(0.0, OVERLAP_S) if index else 0.0
-        drill.after(FIRST_AT_S + offset_s, _bind(fault, drill))
-    lab.clock.run_until(END_S)
-    lab.fleet.close_history()
-    bounds = choose_bounds(faults)
-    violations = history.check_history(lab.fleet.records, bounds)
-    tallies = [source.tally() for source in lab.sources.values()]
-    return Result(
-        tuple(names),
-        seed,
-        bounds,
-        tuple(violations),
-        sum(tally.opened for tally in tallies),
-        sum(tally.broken for tally in tallies),
-        tuple(trace_violation(drill, violations[0])) if violations else (),
-    )
-
-
-def _bind(fault: Fault, drill: Drill) -> abc.Callable[[], None]:
-    return lambda: fault.inject(drill)
-
-
-def trace_violation(drill: Drill, violation: history.Violation) -> list[str]:
-    """Return the faults and the records that concern a violation, by time."""
-    records = drill.lab.fleet.records
-    subject = violation.detail.split()[0]
-    flow = subject.rsplit("-r", 1)[0]
-    lines = [(at_s, text) for at_s, text in drill.log]
-    for at_s, name, notice in drill.lab.fleet.notices:
-        if at_s >= FIRST_AT_S:
-            fields = " ".join(f"{key}={value}" for key, value in notice.fields.items())
-            lines.append((at_s, f"{name}: {notice.name} {fields}"))
-    last = ""
-    for record in records:
-        if isinstance(record, history.Delivery) and record.flow == flow:
-            text = f"{flow} by {record.node} to {record.upstream}"
-            if text != last:
-                kind = "opening" if record.opening else "data"
-                lines.append((record.at_s, f"{text} ({kind})"))
-            last = text
-        elif isinstance(record, history.OpeningRefused) and record.flow == flow:
-            lines.append((record.at_s, f"{flow} refused by {record.node}"))
-        elif isinstance(record, history.Operation) and record.caller == flow:
-            if record.outcome != "ran":
-                lines.append((record.invoked_s, f"{record.request} {record.outcome}"))
-    key = find_key(drill, flow)
-    if key is not None:
-        service = flow.rpartition("-f")[0]
-        lines += _trace_owners(drill, hashing.fingerprint_flow(service, key))
-    return [f"{at_s:7.3f} {text}" for at_s, text in sorted(lines)]
-
-
-def find_key(drill: Drill, flow: str) -> bytes | None:
-    """Return the flow key that belongs to a caller's flow name."""
-    service, found, number = flow.rpartition("-f")
-    if not found or service not in drill.lab.sources or not number.isdigit():
-        return None
-    return int(number).to_bytes(6, "big")
-
-
-def _trace_owners(drill: Drill, fingerprint: bytes) -> abc.Iterator[tuple[float, str]]:
-    for at_s, name, notice in drill.lab.fleet.notices:
-        owners = notice.fields.get("owners")
-        if notice.name == "view changed" and isinstance(owners, list):
-            vms = drill.lab.fleet.vms
-            choices = [
-                hashing.Choice(owner, vms[owner].capacity)
-                for owner in owners
-                if owner in vms
-            ]
-            if at_s >= FIRST_AT_S:
-                yield at_s, f"{name}: owner {hashing.find_best(fingerprint, choices)}"
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pistachioshed.core import events
-from pistachioshed.lab import deployments, faults, fleet, history, policies
+from pistachioshed.lab import deployments, faultruns, faults, fleet, history, policies
 
 KRASOTAVA = deployments.KRASOTAVA
 ZILINA = deployments.ZILINA
@@ -38,7 +38,7 @@
 )
 
 
-def describe(result: faults.Result) -> str:
+def describe(result: faultruns.Result) -> str:
     """Return what broke and the trace of the first violation."""
     broken = [f"{found.rule}: {found.detail}" for found in result.violations]
     return "\n".join([*broken, *result.trace])
@@ -47,7 +47,7 @@
 @pytest.mark.parametrize("name", faults.FAULTS)
 def test_rules_hold_under_a_fault(name: str) -> None:
     """Guards against one fault that breaks what is promised in spite of it."""
-    result = faults.run_faults((name,), 1, policies.build_core, ZILINA)
+    result = faultruns.run_faults((name,), 1, policies.build_core, ZILINA)
     assert result.opened > 300
     assert not result.violations, describe(result)
 
@@ -55,7 +55,7 @@
 @pytest.mark.parametrize("names", PAIRS, ids="+".join)
 def test_rules_hold_under_two_faults(names: tuple[str, ...]) -> None:
     """Guards against promises that hold under either fault, not under both."""
-    result = faults.run_faults(names, 1, policies.build_core, KRASOTAVA)
+    result = faultruns.run_faults(names, 1, policies.build_core, KRASOTAVA)
     assert not result.violations, describe(result)
 
 
@@ -72,7 +72,7 @@
     names: tuple[str, ...], policy: str, rule: str
 ) -> None:
     """Guards against faults too weak to show anything."""
-    result = faults.run_faults(names, 1, policies.POLICIES[policy], KRASOTAVA)
+    result = faultruns.run_faults(names, 1, policies.POLICIES[policy], KRASOTAVA)
     assert rule in {found.rule for found in result.violations}
     assert result.trace
 
