Test the wait of a join and the single question to a previous owner

Cause: with _covers always true, or without the rule that the relaying balancer is not asked, all 133 core tests passed, so neither mechanism had a proof. Change: one test for each. Result: each new test fails without its mechanism and passes with it.

--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -303,6 +303,19 @@
     assert network.run(10, lambda: joiner.lifecycle.state == "active") < 0.5
 
 
+def test_join_waits_for_the_tables_of_the_joiner() -> None:
+    """Guards against an owner whose flows are placed by a table the joiner lacks."""
+    replicator = replication.Replicator(settings.Settings("c", "zone-0"))
+    replicator.set_view(membership.View(1, (membership.Member("a", "", 1.0),)), 0.0)
+    replicator.begin_handover(0.0)
+    replicator.close_generation(SERVICE, 3)
+    session = replicator.joiners.own_number
+    for version in (2, 3):
+        done = wire.HandoverDone(session, 1, {SERVICE: version})
+        replicator.handle("a", done, 0.1)
+        assert replicator.is_handed_over() == (version == 3)
+
+
 def test_flush_precedes_the_leave() -> None:
     """Guards against a planned stop that loses exceptions or drops open flows."""
     network = fakes.Network(7, 8)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pistachioshed.core import events, tables
+from pistachioshed.core import events, node, settings, tables
 from tests import builders, fleets
 
 TABLE = builders.build_table(fleets.SERVICE, 7)
@@ -292,3 +292,18 @@
     fleet = fleets.Fleet(TABLE, 4)
     fleet.now += 1.0
     assert len(read_places(fleet)) == len(FLOWS)
+
+
+def test_previous_owner_is_asked_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a packet that goes back to the balancer that relayed it."""
+    asker = node.Node(settings.Settings("entry-a", "riga-a"), 1)
+    asker.handle(events.TableReceived(builders.build_table("booking", 3)), 0.0)
+    peering = asker.peering
+    monkeypatch.setattr(peering, "list_owners", lambda: ("entry-a", "entry-b"))
+    monkeypatch.setattr(peering, "find_owner", lambda service, flow: "entry-a")
+    monkeypatch.setattr(peering, "find_previous_owner", lambda service, flow: "entry-b")
+    monkeypatch.setattr(peering.membership, "knows", lambda peer: True)
+    packet = events.CallerPacket("booking", b"flow", events.PacketKind.DATA)
+    assert asker.handle(packet, 0.1) == [events.SendOwner("entry-b")]
+    (action,) = asker.handle(events.RelayedPacket("entry-b", *packet), 0.2)
+    assert isinstance(action, events.SendUpstream)
