Say in the help what the removal of a row does to its flows

Cause: the help of remove said that established flows are lost; the core keeps them at the removed row until they end (test_flows_of_a_row_outlive_it).

--- a/src/pistachioshed/apps/editing.py
+++ b/src/pistachioshed/apps/editing.py
@@ -150,7 +150,7 @@
 ) -> None:
     """Remove an upstream.
 
-    Its established flows are lost. Drain it first and wait until they have ended.
+    It gets no new flows; its established flows stay until they end.
     """
     run_change(
         context,
