--- /dev/null
+++ b/src/pistachioshed/adapters/beliefs.py
@@ -0,0 +1,128 @@
+"""Configuration and upstreams passed on between balancers over HTTP."""
+
+import typing
+import urllib.parse
+import zlib
+
+import msgspec
+
+from pistachioshed.adapters import http1
+from pistachioshed.core import directory, routing, steering
+
+PATH: typing.Final = "/beliefs"
+CONTENT_TYPE: typing.Final = "application/msgpack"
+WAIT_S: typing.Final = 5.0
+REQUEST_TIMEOUT_S: typing.Final = 2.0  # A configuration on a link of 10 Mbit/s.
+COMPRESSION_LEVEL: typing.Final = 1  # Routes shrink to a seventh in 1 to 2 ms.
+MESSAGE_MAX_BYTES: typing.Final = 16_000_000
+
+
+class Beliefs(typing.NamedTuple):
+    """What changed since the receiver's own beliefs, or all of it if a snapshot.
+
+    `services` and `routes` are those of the configuration of `version`, empty if the
+    receiver has that one.
+    """
+
+    revision: int
+    changed: int
+    snapshot: bool
+    changes: tuple[directory.Change, ...]
+    version: int
+    flow_idle_s: float
+    routes: tuple[routing.Route, ...]
+    services: dict[str, routing.ServiceLimits]
+
+
+class BeliefsError(Exception):
+    """A peer's beliefs that could not be fetched or read."""
+
+
+def collect_beliefs(decisions: steering.Steering, revision: int, version: int) -> bytes:
+    """Return the message for a peer that knows a revision and a version."""
+    known = decisions.directory
+    configuration = decisions.configuration
+    changes = known.list_changes(revision) if revision else None
+    is_newer = configuration.version > version
+    beliefs = Beliefs(
+        known.revision,
+        known.changed,
+        changes is None,
+        known.list_snapshot() if changes is None else changes,
+        configuration.version,
+        configuration.flow_idle_s,
+        tuple(configuration.routes.values()) if is_newer else (),
+        configuration.services if is_newer else {},
+    )
+    return zlib.compress(msgspec.msgpack.encode(beliefs), COMPRESSION_LEVEL)
+
+
+def apply_beliefs(decisions: steering.Steering, beliefs: Beliefs, now: float) -> None:
+    """Take a peer's beliefs where they are newer."""
+    if beliefs.version > decisions.configuration.version and beliefs.services:
+        routes = {route.target: route for route in beliefs.routes}
+        decisions.configure(
+            routing.Configuration(
+                beliefs.version, routes, beliefs.services, beliefs.flow_idle_s
+            ),
+            now,
+        )
+    decisions.update_directory(beliefs.changes, beliefs.revision, beliefs.snapshot, now)
+    known = decisions.directory
+    known.changed = max(known.changed, beliefs.changed)
+
+
+def decode_beliefs(data: bytes) -> Beliefs:
+    """Read a message.
+
+    Raises
+    ------
+    BeliefsError
+        If the bytes are none.
+    """
+    try:
+        inflater = zlib.decompressobj()
+        content = inflater.decompress(data, MESSAGE_MAX_BYTES)
+        return msgspec.msgpack.decode(content, type=Beliefs)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise BeliefsError(f"decode beliefs: {error}") from error
+
+
+async def fetch_beliefs(
+    connection: http1.Connection, revision: int, version: int, wait_s: float
+) -> Beliefs:
+    """Ask a peer for what is newer than a revision and a version.
+
+    Raises
+    ------
+    BeliefsError
+        If there is no answer in time, or it can not be read.
+    """
+    query = urllib.parse.urlencode(
+        {"revision": revision, "version": version, "wait_s": wait_s}
+    )
+    try:
+        response = await connection.request(
+            "GET", f"{PATH}?{query}", wait_s + REQUEST_TIMEOUT_S
+        )
+    except http1.HttpError as error:
+        raise BeliefsError(str(error)) from error
+    if response.status != 200:
+        raise BeliefsError(f"{connection.peer}: status {response.status}")
+    return decode_beliefs(response.body)
+
+
+def parse_query(target: str) -> tuple[int, int, float]:
+    """Return revision, version and wait of a request.
+
+    Raises
+    ------
+    ValueError
+        If one of them is missing or no number.
+    """
+    query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(target).query))
+    try:
+        wait_s = float(query["wait_s"])
+        return int(query["revision"]), int(query["version"]), min(wait_s, WAIT_S)
+    except KeyError as error:
+        raise ValueError(f"{error} is missing") from error
--- a/src/pistachioshed/adapters/forwarding.py
+++ b/src/pistachioshed/adapters/forwarding.py
@@ -68,17 +68,30 @@
         except ValueError:
             self.count("packets", outcome="malformed")
             return
-        action = self.decisions.handle(segment, now)
+        action = self.decisions.handle(segment, data, now)
+        if isinstance(action, steering.Drop):
+            self.count("packets", outcome="dropped")
+            return
+        self.carry_out(steering.Order(action, segment, data))
+
+    def carry_out_orders(self) -> None:
+        """Send what was decided without a packet that asked for it."""
+        orders, self.decisions.orders = self.decisions.orders, []
+        for order in orders:
+            self.carry_out(order)
+
+    def carry_out(self, order: steering.Order) -> None:
+        """Send a packet on to its upstream, or a reset to its caller."""
+        action = order.action
         if isinstance(action, steering.Forward):
             outcome = "placed" if action.mark else "carried"
             self.count("packets", outcome=outcome)
-            self._send(self.codec.encode_forward(data, action), action.upstream.address)
-        elif isinstance(action, steering.Refuse):
-            self.count("packets", outcome="refused")
-            caller = self.codec.format_ip(segment.caller[0])
-            self._send(self.codec.encode_reset(segment), (caller, self.port))
+            data = self.codec.encode_forward(order.packet, action)
+            self._send(data, action.upstream.address)
         else:
-            self.count("packets", outcome="dropped")
+            self.count("packets", outcome="refused")
+            caller = self.codec.format_ip(order.segment.caller[0])
+            self._send(self.codec.encode_reset(order.segment), (caller, self.port))
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/pistachioshed/adapters/http1.py
+++ b/src/pistachioshed/adapters/http1.py
@@ -40,19 +40,35 @@
 
 
 class HttpError(Exception):
-    """A failed exchange, with the step and the peer at which it arose."""
+    """A failed exchange, with the step and the peer at which it arose.
 
-    def __init__(self, step: str, peer: str, cause: str) -> None:
+    `refused` tells that no process listens at the peer's address, `connected` that
+    the failure came after the connection stood.
+    """
+
+    def __init__(
+        self,
+        step: str,
+        peer: str,
+        cause: str,
+        refused: bool = False,
+        connected: bool = False,
+    ) -> None:
         self.step = step
         self.peer = peer
+        self.refused = refused
+        self.connected = connected
         super().__init__(f"{step}: {peer}: {cause}")
 
 
 class Connection:
     """One client connection, reused for one request after the other."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self, address: tuple[str, int], connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> None:
         self.address = address
+        self.connect_timeout_s = connect_timeout_s
         self.peer = f"{address[0]}:{address[1]}"
         self.protocol: h11.Connection | None = None
         self.reader: asyncio.StreamReader | None = None
@@ -75,9 +91,11 @@
                     await self._connect()
                 return await self._exchange(method, target, body)
         except (OSError, TimeoutError, h11.ProtocolError) as error:
+            connected = self.writer is not None
             self.close()
             cause = str(error) or type(error).__name__
-            raise HttpError(step, self.peer, cause) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise HttpError(step, self.peer, cause, refused, connected) from error
         except asyncio.CancelledError:
             self.close()
             raise
@@ -89,7 +107,7 @@
         self.writer = self.reader = self.protocol = None
 
     async def _connect(self) -> None:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with asyncio.timeout(self.connect_timeout_s):
             self.reader, self.writer = await asyncio.open_connection(*self.address)
         watch_liveness(self.writer)
         self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -10,6 +10,7 @@
 from collections import abc
 
 from pistachioshed.adapters import (
+    beliefs,
     feed,
     forwarding,
     http1,
@@ -24,15 +25,25 @@
 
 TICK_S: typing.Final = 0.02  # A third of the time in which an opening is acknowledged.
 REPORT_IDLE_S: typing.Final = 0.25
-# Reports in a burst of new flows; with more peers they are sent more seldom, so that a
-# balancer spends about the same on them in any fleet.
+# Reports in a burst of new flows. With more recipients they are sent more seldom, so
+# that a balancer sends at most 500 datagrams a second.
 REPORT_MIN_S: typing.Final = 0.01
-REPORT_PEER_S: typing.Final = 0.001
+REPORT_SQUARE_S: typing.Final = 0.0001
+PEERS_PASSED_ON: typing.Final = 3  # Under 60 bytes of each report.
+ROLE_S: typing.Final = 0.1
+# A new balancer has heard of the others of its zone by then.
+ROLE_SETTLE_S: typing.Final = 1.5
+# A report overtakes the change itself by less.
+BEHIND_S: typing.Final = 0.3
 PROBE_TIMEOUT_S: typing.Final = 0.4  # Below the interval of probes.
+PROBE_CONNECT_S: typing.Final = 0.15  # Over ten round trips to another zone.
 # The fabric takes a balancer out after 2 misses, 0.5 s apart.
 ROTATION_S: typing.Final = 1.3
 QUIET_S: typing.Final = 0.8
 STOP_MARGIN_S: typing.Final = 0.7
+# The store answers in 4 ms; without beliefs after this time openings are refused, so
+# that callers try another balancer.
+START_GRACE_S: typing.Final = 0.3
 SETTINGS_POLL_S: typing.Final = 2.0
 STATUS_S: typing.Final = 10.0
 
@@ -43,9 +54,13 @@
     """One forwarder process: its beliefs, sockets and tasks."""
 
     def __init__(
-        self, settings: forwarderoptions.ForwarderSettings, path: pathlib.Path
+        self,
+        settings: forwarderoptions.ForwarderSettings,
+        path: pathlib.Path,
+        log_stream: jsonlog.BoundedStream,
     ) -> None:
         self.settings = settings
+        self.log_stream = log_stream
         self.path = path
         self.metrics = metrics.Metrics("pistachioshed_forwarder")
         self.presence = presence.Presence()
@@ -56,10 +71,17 @@
         self.reported_at = 0.0
         self.stop_requested_at = 0.0
         self.unserved: list[str] = []
+        self.started_at = self.clock()
+        self.watching: list[asyncio.Task[None]] = []
+        self.behind_since: float | None = None
+        self.news = asyncio.Event()
         self.stopped = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
         self.peers = neighbours.Neighbours(
-            settings.name, settings.zone, self.list_seeds(settings)
+            settings.name,
+            settings.zone,
+            self.list_seeds(settings),
+            settings.capacity,
         )
         self.decisions = steering.Steering(
             settings.zone, self.peers, self.record, os.getpid()
@@ -105,15 +127,16 @@
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        loop.add_reader(self.plane.sock, self.plane.receive)
+        loop.call_later(START_GRACE_S, self.open_plane)
         loop.add_reader(self.reports.sock, self.reports.receive)
         jsonlog.log_event("started", settings=self.settings._asdict())
-        self.start_task(self.follow("configuration", records.CONFIGURATION_KEY))
-        self.start_task(self.follow("upstreams", records.UPSTREAMS_PREFIX))
+        self.start_watching()
         self.start_task(self.poll_settings())
+        self.start_task(self.keep_role())
         servers = [
             await http1.start_server(self.settings.ready, self.answer_ready),
             await http1.start_server(self.settings.metrics, self.answer_metrics),
+            await http1.start_server(self.settings.peers, self.answer_beliefs),
         ]
         self.start_task(self.keep_ticking())
         await self.stopped.wait()
@@ -123,11 +146,14 @@
             server.close()
         jsonlog.log_event("stopped", dropped_lines=self.count_dropped())
 
-    def start_task(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
-        """Run a task until the process ends; its failure ends the process."""
+    def start_task(
+        self, work: abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> asyncio.Task[None]:
+        """Run a task until it or the process ends."""
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.end_task)
+        return task
 
     def end_task(self, task: asyncio.Task[None]) -> None:
         """Forget a finished task; log what it failed with."""
@@ -137,6 +163,156 @@
             jsonlog.log_failure("task failed", task=task.get_name(), cause=repr(error))
             self.metrics.count("task_failures")
 
+    def start_watching(self) -> None:
+        """Follow the store."""
+        if not self.watching:
+            self.watching = [
+                self.start_task(
+                    self.follow("configuration", records.CONFIGURATION_KEY)
+                ),
+                self.start_task(self.follow("upstreams", records.UPSTREAMS_PREFIX)),
+            ]
+
+    def stop_watching(self) -> None:
+        """Leave the store to the watchers of the zone."""
+        for task in self.watching:
+            task.cancel()
+        self.watching = []
+
+    async def keep_role(self) -> None:
+        """Follow the store or a peer that does; catch up with peers that know more."""
+        follower: asyncio.Task[None] | None = None
+        while True:
+            await asyncio.sleep(ROLE_S)
+            now = self.clock()
+            if now - self.started_at > ROLE_SETTLE_S:
+                watchers = self.peers.list_watchers(now)
+                should_watch = self.settings.name in watchers
+                if not should_watch and (follower is None or follower.done()):
+                    follower = self.start_task(self.follow_peer())
+                    jsonlog.log_event("follows peers", watchers=watchers)
+                elif should_watch and follower is not None:
+                    follower.cancel()
+                    follower = None
+                    self.start_watching()
+                    jsonlog.log_event("follows the store", watchers=watchers)
+            await self.catch_up(now)
+
+    async def follow_peer(self) -> None:
+        """Take changes from a watcher of the zone; return when there is none."""
+        connection: http1.Connection | None = None
+        try:
+            while True:
+                watcher = self.find_watcher()
+                if watcher is None:
+                    self.start_watching()
+                    await asyncio.sleep(ROLE_S)
+                    continue
+                if connection is None or connection.address != watcher.address:
+                    if connection is not None:
+                        connection.close()
+                    connection = http1.Connection(watcher.address)
+                try:
+                    await self.fetch(connection, watcher.name, beliefs.WAIT_S)
+                except beliefs.BeliefsError as error:
+                    self.note_fetch_failure(watcher.name, error)
+                    self.start_watching()
+                    await asyncio.sleep(ROLE_S)
+                else:
+                    self.stop_watching()
+        finally:
+            if connection is not None:
+                connection.close()
+
+    def find_watcher(self) -> neighbours.Report | None:
+        """Return a live watcher of the zone; followers share them by their names."""
+        now = self.clock()
+        names = self.peers.list_watchers(now)
+        live = [
+            report
+            for report in self.peers.list_live(now)
+            if report.name in names and report.watches
+        ]
+        if not live:
+            return None
+        return live[sum(self.settings.name.encode()) % len(live)]
+
+    async def fetch(
+        self, connection: http1.Connection, peer: str, wait_s: float
+    ) -> None:
+        """Take what a peer knows beyond this balancer's beliefs."""
+        decisions = self.decisions
+        newest = await beliefs.fetch_beliefs(
+            connection,
+            decisions.directory.revision,
+            decisions.configuration.version,
+            wait_s,
+        )
+        self.metrics.count("belief_fetches", peer=peer)
+        beliefs.apply_beliefs(decisions, newest, self.clock())
+        self.plane.carry_out_orders()
+        self.note_beliefs()
+
+    def note_fetch_failure(self, peer: str, error: Exception) -> None:
+        """Log that a peer did not pass its beliefs on."""
+        self.metrics.count("belief_failures", peer=peer)
+        jsonlog.log_failure("peer lost", peer=peer, cause=str(error))
+
+    async def catch_up(self, now: float) -> None:
+        """Ask a peer that has known more for some time, whatever the own source."""
+        newer = self.peers.find_newer(
+            self.decisions.directory.changed, self.decisions.configuration.version, now
+        )
+        if newer is None:
+            self.behind_since = None
+            return
+        if self.behind_since is None:
+            self.behind_since = now
+        if now - self.behind_since < BEHIND_S:
+            return
+        self.behind_since = None
+        jsonlog.log_event(
+            "catches up",
+            peer=newer.name,
+            upstreams=self.decisions.directory.changed,
+            configuration=self.decisions.configuration.version,
+        )
+        connection = http1.Connection(newer.address)
+        try:
+            await self.fetch(connection, newer.name, 0.0)
+        except beliefs.BeliefsError as error:
+            self.note_fetch_failure(newer.name, error)
+        finally:
+            connection.close()
+
+    async def answer_beliefs(self, request: http1.Request) -> http1.Response:
+        """Pass on what a peer does not know yet, as soon as there is anything."""
+        try:
+            revision, version, wait_s = beliefs.parse_query(request.target)
+        except ValueError as error:
+            return http1.Response(400, {}, str(error).encode())
+        deadline = self.clock() + wait_s
+        while not self.knows_more(revision, version):
+            self.news.clear()
+            left_s = deadline - self.clock()
+            if left_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(left_s):
+                    await self.news.wait()
+            except TimeoutError:
+                # The peer gets an answer without changes and asks again.
+                break
+        body = beliefs.collect_beliefs(self.decisions, revision, version)
+        return http1.Response(200, {"Content-Type": beliefs.CONTENT_TYPE}, body)
+
+    def knows_more(self, revision: int, version: int) -> bool:
+        """Tell whether there are changes after a revision or a version."""
+        return (
+            self.decisions.directory.changed > revision
+            or self.decisions.configuration.version > version
+        )
+
     async def follow(self, name: str, prefix: str) -> None:
         """Follow one prefix of the store."""
         deliver = {
@@ -189,15 +365,22 @@
         self.decisions.update_directory(
             changes, batch.revision, batch.snapshot, self.clock()
         )
+        self.plane.carry_out_orders()
         self.note_beliefs()
 
     def note_beliefs(self) -> None:
-        """Start to serve once configuration and upstreams are known."""
+        """Pass news on; start to serve once configuration and upstreams are known."""
+        self.news.set()
         if self.decisions.configuration.version and self.decisions.directory.revision:
             before = self.presence.state
             self.presence.signals.note_beliefs()
             if self.presence.state != before:
                 jsonlog.log_event("serving")
+                self.open_plane()
+
+    def open_plane(self) -> None:
+        """Start to read packets; those that came earlier have waited in the socket."""
+        asyncio.get_running_loop().add_reader(self.plane.sock, self.plane.receive)
 
     async def answer_ready(self, request: http1.Request) -> http1.Response:
         """Tell the fabric whether this balancer takes flows."""
@@ -218,20 +401,22 @@
 
     def count_dropped(self) -> int:
         """Return how many log lines were dropped."""
-        return LOG_STREAM.dropped
+        return self.log_stream.dropped
 
     async def keep_ticking(self) -> None:
         """Let the decisions know that time passes."""
         while not self.stopped.is_set():
             await asyncio.sleep(TICK_S)
-            # Packets that waited while this process did not run go first.
-            self.plane.receive()
+            if self.presence.state != "starting":
+                # Packets that waited while this process did not run go first.
+                self.plane.receive()
             self.tick(self.clock())
 
     def tick(self, now: float) -> None:
         """Judge silence, start probes, report to the peers, end a stop."""
         for upstream in self.decisions.tick(now):
             self.start_task(self.probe(upstream))
+        self.plane.carry_out_orders()
         unserved = self.decisions.find_unserved()
         if unserved != self.unserved:
             self.unserved = unserved
@@ -243,7 +428,10 @@
     def report(self, now: float) -> None:
         """Send a report when the loads have changed, and from time to time."""
         waited_s = now - self.reported_at
-        if waited_s < REPORT_MIN_S + REPORT_PEER_S * len(self.peers.addresses):
+        if waited_s < REPORT_MIN_S:
+            return
+        recipients = self.peers.list_recipients(self.sequence)
+        if waited_s < REPORT_MIN_S + REPORT_SQUARE_S * len(recipients) ** 2:
             return
         loads = self.decisions.list_loads()
         if loads == self.last_loads and waited_s < REPORT_IDLE_S:
@@ -252,21 +440,23 @@
         self.reported_at = now
         self.sequence += 1
         known = [peer.address for peer in self.peers.list_live(now)]
+        start = self.sequence % max(1, len(known))
         report = neighbours.Report(
             self.settings.name,
             self.settings.zone,
             self.settings.peers,
             self.start_ms,
             self.sequence,
-            True,
+            bool(self.watching),
             self.presence.state == "leaving",
-            self.decisions.directory.revision,
+            self.settings.capacity,
+            self.decisions.directory.changed,
             self.decisions.configuration.version,
             loads,
             # Each report passes on a few peers, so that all learn of all.
-            tuple(known[self.sequence % len(known) :][:3]) if known else (),
+            tuple(known[start : start + PEERS_PASSED_ON]),
         )
-        self.reports.send(report, list(self.peers.addresses))
+        self.reports.send(report, recipients)
 
     def receive_report(self, report: neighbours.Report) -> None:
         """Take a peer's report."""
@@ -276,24 +466,28 @@
 
     async def probe(self, upstream: directory.Upstream) -> None:
         """Ask a suspected upstream for its health."""
-        limits = self.decisions.configuration.services.get(upstream.service)
-        if limits is None:
-            return
-        connection = http1.Connection(upstream.address)
+        limits = self.decisions.configuration.services[upstream.service]
+        connection = http1.Connection(upstream.address, PROBE_CONNECT_S)
+        outcome: steering.ProbeOutcome
         try:
             response = await connection.request(
                 "GET", limits.health_path, PROBE_TIMEOUT_S
             )
         except http1.HttpError as error:
-            passed, outcome = False, str(error)
+            detail = str(error)
+            outcome = "busy" if error.connected else "silent"
+            if error.refused:
+                outcome = "refused"
         else:
             found = response.headers.get(records.INSTANCE_HEADER)
             passed = response.status == 200 and found == upstream.name
-            outcome = f"status {response.status} of {found}"
+            outcome = "passed" if passed else "failed"
+            detail = f"status {response.status} of {found}"
         finally:
             connection.close()
-        self.metrics.count("probes", outcome="passed" if passed else "failed")
-        self.decisions.record_probe(upstream, passed, outcome, self.clock())
+        self.metrics.count("probes", outcome=outcome)
+        self.decisions.record_probe(upstream, outcome, detail, self.clock())
+        self.plane.carry_out_orders()
 
     def request_stop(self) -> None:
         """Leave the rotation; packets are forwarded until they no longer arrive."""
@@ -343,9 +537,6 @@
         )
 
 
-LOG_STREAM: typing.Final = jsonlog.BoundedStream(sys.stdout.fileno())
-
-
 def format_flow(segment: steering.Segment) -> str:
     """Return the two ends of a flow as "ip:port>ip:port"."""
     caller, caller_port = segment.caller
@@ -374,16 +565,19 @@
             print(fault, file=sys.stderr)
         return 2
     identity = {"program": "forwarder", "node": settings.name, "zone": settings.zone}
-    jsonlog.start_logging(identity, LOG_STREAM)
-    asyncio.run(run_forwarder(settings, path))
+    stream = jsonlog.BoundedStream(sys.stdout.fileno())
+    jsonlog.start_logging(identity, stream)
+    asyncio.run(run_forwarder(settings, path, stream))
     return 0
 
 
 async def run_forwarder(
-    settings: forwarderoptions.ForwarderSettings, path: pathlib.Path
+    settings: forwarderoptions.ForwarderSettings,
+    path: pathlib.Path,
+    stream: jsonlog.BoundedStream,
 ) -> None:
     """Run one forwarder on the running event loop."""
-    await Forwarder(settings, path).run()
+    await Forwarder(settings, path, stream).run()
 
 
 if __name__ == "__main__":
--- a/src/pistachioshed/apps/forwarderoptions.py
+++ b/src/pistachioshed/apps/forwarderoptions.py
@@ -14,7 +14,8 @@
     """Checked settings of the forwarder.
 
     `stop_s` is how long the process may go on after a request to stop; `seeds` are
-    addresses of a few peers, of which the port may differ from theirs.
+    addresses of a few peers, of which the port may differ from theirs. `capacity` is
+    that of the machine's link in Mbit/s.
     """
 
     name: str
@@ -26,6 +27,7 @@
     store: Address
     seeds: tuple[str, ...]
     stop_s: float
+    capacity: float
 
 
 def parse_ip_port(text: str) -> Address:
@@ -45,6 +47,9 @@
     ini.Option(
         "balancer", "stop_s", "stop_s", ini.parse_positive, "seconds above 0", "6"
     ),
+    ini.Option(
+        "balancer", "capacity", "capacity", ini.parse_positive, "Mbit/s above 0", "1000"
+    ),
     ini.Option("listen", "packets", "packets", parse_ip_port, "ip:port"),
     ini.Option("listen", "ready", "ready", parse_ip_port, "ip:port"),
     ini.Option("listen", "peers", "peers", parse_ip_port, "ip:port"),
--- a/src/pistachioshed/core/directory.py
+++ b/src/pistachioshed/core/directory.py
@@ -10,6 +10,8 @@
 # The users' longest flow; packets of open flows still follow a removed entry.
 REMEMBER_REMOVED_S: typing.Final = 60.0
 REMEMBER_REMOVED_MAX: typing.Final = 4_096  # Bounds memory to about 1 MB.
+# Enough for a release of all upstreams of the users' grown tables; about 0.5 MB.
+CHANGES_KEPT: typing.Final = 1_024
 
 
 class Upstream(typing.NamedTuple):
@@ -65,10 +67,16 @@
 
     An entry that disappears without a notice of leaving lapsed: the host may have
     crashed, or the store was away. It is kept for `LAPSE_HOLD_S` and then removed.
+
+    `revision` is the store's as of which all this is known, `changed` that of the last
+    change. `changes` holds the last ones for peers, complete after `changes_from`.
     """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.changed = 0
+        self.changes: collections.deque[Change] = collections.deque()
+        self.changes_from = 0
         self.upstreams: dict[str, Upstream] = {}
         self.revisions: dict[str, int] = {}
         self.added_at: dict[str, float] = {}
@@ -88,7 +96,12 @@
             return []
         updates = []
         present = set()
+        if snapshot:
+            self.changes.clear()
+            self.changes_from = revision
         for change in changes:
+            if not snapshot:
+                self._keep_change(change)
             present.add(change.name)
             update = self._apply_change(change, now)
             if update is not None:
@@ -98,11 +111,28 @@
                 update = self._drop(name, revision, now)
                 if update is not None:
                     updates.append(update)
+            if updates:
+                # What is missing from a snapshot was removed at an unknown revision.
+                self.changed = max(self.changed, revision)
         self.revision = revision
         if updates:
             self._index()
         return updates
 
+    def list_changes(self, revision: int) -> tuple[Change, ...] | None:
+        """Return the changes after a revision, None if not all are known."""
+        if revision < self.changes_from:
+            return None
+        return tuple(change for change in self.changes if change.revision > revision)
+
+    def list_snapshot(self) -> tuple[Change, ...]:
+        """Return the entries that are registered."""
+        return tuple(
+            Change(name, upstream, self.revisions[name])
+            for name, upstream in self.upstreams.items()
+            if name not in self.lapsed_at
+        )
+
     def expire(self, now: float) -> list[Update]:
         """Remove the entries that lapsed long enough ago."""
         updates = []
@@ -138,9 +168,15 @@
         """Tell whether an upstream is still slow after its start."""
         return now - self.added_at.get(upstream.name, now) < upstream.cold_s
 
+    def _keep_change(self, change: Change) -> None:
+        if len(self.changes) >= CHANGES_KEPT:
+            self.changes_from = self.changes.popleft().revision
+        self.changes.append(change)
+
     def _apply_change(self, change: Change, now: float) -> Update | None:
         if change.revision < self.revisions.get(change.name, 0):
             return None
+        self.changed = max(self.changed, change.revision)
         upstream = change.upstream
         if upstream is None:
             return self._drop(change.name, change.revision, now)
--- a/src/pistachioshed/core/neighbours.py
+++ b/src/pistachioshed/core/neighbours.py
@@ -8,6 +8,13 @@
 SILENT_AFTER_S: typing.Final = 0.75
 FORGET_AFTER_S: typing.Final = 30.0  # Longer than any partition on the users' pages.
 PEERS_MAX: typing.Final = 512
+# Up to this many peers each report goes to all; with more, the loads go to those of the
+# zone and a few of each other zone learn that it is alive.
+EVERYONE_MAX: typing.Final = 12
+NEAR_MAX: typing.Final = 32
+FAR_PER_ZONE: typing.Final = 4
+# Balancers of a zone that follow the store; a second one covers the death of the first.
+WATCHERS: typing.Final = 2
 
 
 class UpstreamLoad(typing.NamedTuple):
@@ -22,7 +29,8 @@
     """What a balancer tells its peers of itself.
 
     `start_ms` orders the incarnations of one balancer and `sequence` its reports.
-    `watches` tells whether it follows the store itself.
+    `watches` tells whether it follows the store itself; `capacity` is that of its link
+    in Mbit/s. `upstreams_changed` is the revision of the last change that it knows.
     """
 
     name: str
@@ -32,7 +40,8 @@
     sequence: int
     watches: bool
     leaving: bool
-    upstreams_revision: int
+    capacity: float
+    upstreams_changed: int
     configuration_version: int
     loads: tuple[UpstreamLoad, ...]
     peers: tuple[tuple[str, int], ...]
@@ -54,8 +63,15 @@
     `addresses` holds where reports are sent, also before the first one is received.
     """
 
-    def __init__(self, name: str, zone: str, seeds: abc.Iterable[tuple[str, int]]):
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        seeds: abc.Iterable[tuple[str, int]],
+        capacity: float = 1.0,
+    ) -> None:
         self.name = name
+        self.capacity = capacity
         self.zone = zone
         self.addresses: dict[tuple[str, int], float] = dict.fromkeys(seeds, 0.0)
         self.peers: dict[str, Peer] = {}
@@ -116,6 +132,43 @@
             if now - peer.heard_at <= SILENT_AFTER_S
         ]
 
+    def list_recipients(self, sequence: int) -> list[tuple[str, int]]:
+        """Return whom to send a report to; large fleets take turns."""
+        if len(self.addresses) <= EVERYONE_MAX:
+            return list(self.addresses)
+        zones: dict[str, list[tuple[str, int]]] = {}
+        known = set()
+        for peer in self.peers.values():
+            zones.setdefault(peer.report.zone, []).append(peer.report.address)
+            known.add(peer.report.address)
+        chosen = [address for address in self.addresses if address not in known]
+        for zone, addresses in zones.items():
+            most = NEAR_MAX if zone == self.zone else FAR_PER_ZONE
+            addresses.sort()
+            start = (sequence * most) % len(addresses)
+            chosen += (addresses[start:] + addresses[:start])[:most]
+        return chosen
+
+    def list_watchers(self, now: float) -> list[str]:
+        """Return the balancers of the zone that should follow the store, best first."""
+        ranked = [(-self.capacity, self.name)]
+        ranked += [
+            (-report.capacity, report.name)
+            for report in self.list_live(now)
+            if report.zone == self.zone and not report.leaving
+        ]
+        return [name for _, name in sorted(ranked)[:WATCHERS]]
+
+    def find_newer(self, changed: int, version: int, now: float) -> Report | None:
+        """Return a live peer's report that shows newer beliefs than these."""
+        newer = [
+            report
+            for report in self.list_live(now)
+            if report.upstreams_changed > changed
+            or report.configuration_version > version
+        ]
+        return max(newer, key=_rank_beliefs, default=None)
+
     def find_silent_zones(self, now: float) -> set[str]:
         """Return the zones of which every known peer fell silent at once.
 
@@ -140,3 +193,7 @@
                 self.loads[entry.token] = total
             else:
                 self.loads.pop(entry.token, None)
+
+
+def _rank_beliefs(report: Report) -> tuple[int, int]:
+    return report.configuration_version, report.upstreams_changed
--- a/src/pistachioshed/core/outlook.py
+++ b/src/pistachioshed/core/outlook.py
@@ -13,6 +13,8 @@
 HOLD_MAX_S: typing.Final = 4.0
 # A suspicion this long after the previous one is a new matter.
 HOLD_RESET_S: typing.Final = 10.0
+# One silent opening may be a lost packet, or a flow that moved to another balancer.
+STRIKES_MAX: typing.Final = 2
 
 
 class Outlook:
@@ -22,23 +24,28 @@
     response yet. `slowness` is the typical latency of its responses as a ratio to that
     of all upstreams of the service. `heard_at` is the time of its last sign of life;
     `suspected_at` when silence was last held against it, None while it is trusted.
-    `own` tells whether the suspicion rests on this balancer's own evidence.
+    `strikes` counts the flows that fell silent since, `doubted_at` is when one
+    last did. `own` tells whether the suspicion rests on own evidence and
+    `silent_probes` how many of its probes in a row found no machine that answers;
+    `probing` is set while one is under way.
     """
 
     __slots__ = (
-        "born_ms",
+        "doubted_at",
         "heard_at",
         "hold_s",
         "outstanding",
         "own",
         "probed_at",
+        "probing",
+        "silent_probes",
         "slowness",
+        "strikes",
         "suspected_at",
         "trusted_at",
     )
 
-    def __init__(self, born_ms: int) -> None:
-        self.born_ms = born_ms
+    def __init__(self) -> None:
         self.outstanding = 0
         self.slowness = 1.0
         self.heard_at = -math.inf
@@ -47,22 +54,37 @@
         self.trusted_at = -math.inf
         self.hold_s = HOLD_FIRST_S
         self.probed_at = -math.inf
+        self.silent_probes = 0
+        self.strikes = 0
+        self.doubted_at = -math.inf
+        self.probing = False
 
     def record_life(self, now: float) -> bool:
         """Note a sign of life; return whether that ended a suspicion."""
         self.heard_at = now
+        self.strikes = 0
         if self.suspected_at is None:
             return False
         self._trust(now)
         return True
 
-    def record_silence(self, since: float, own: bool, now: float) -> bool:
-        """Note that nothing came back since a time; return whether it is now suspected.
+    def record_strike(self, since: float, now: float) -> bool:
+        """Note a flow that is silent since a time; return whether that is one too many.
 
         A sign of life after that time outweighs the silence.
         """
         if self.heard_at >= since:
             return False
+        self.doubt(now)
+        self.strikes += 1
+        return self.strikes >= STRIKES_MAX
+
+    def doubt(self, now: float) -> None:
+        """Ask for a probe."""
+        self.doubted_at = now
+
+    def suspect(self, own: bool, now: float) -> bool:
+        """Suspect the upstream; return whether it was trusted until now."""
         if self.suspected_at is not None:
             self.own = self.own or own
             return False
@@ -72,12 +94,13 @@
         self.own = own
         return True
 
-    def record_probe(self, passed: bool, now: float) -> bool:
-        """Take a probe's result; return whether it ended a suspicion.
+    def record_probe(self, passed: bool, silent: bool, now: float) -> bool:
+        """Take the result of a probe; return whether it ended a suspicion.
 
         A host whose probes pass while its flows stay silent is trusted again later
         each time.
         """
+        self.silent_probes = self.silent_probes + 1 if silent else 0
         if self.suspected_at is None or not passed:
             return False
         if now - self.suspected_at < self.hold_s:
@@ -93,5 +116,7 @@
 
     def _trust(self, now: float) -> None:
         self.suspected_at = None
+        self.silent_probes = 0
+        self.strikes = 0
         self.own = False
         self.trusted_at = now
--- a/src/pistachioshed/core/steering.py
+++ b/src/pistachioshed/core/steering.py
@@ -14,6 +14,14 @@
 # Round trip between balancer, caller and upstream is 2 to 8 ms on the users' sheets;
 # callers repeat an opening after 200 ms.
 OPENING_EXPECTED_S: typing.Final = 0.06
+# A repeated opening and a health check have had a round trip each by then.
+OPENING_MOVED_S: typing.Final = 0.12
+# Callers give an opening up after 1.4 s.
+OPENING_GIVEN_UP_S: typing.Final = 1.0
+# A response is late by then: the users' longest job is 0.23 s, six times its mean.
+RESPONSE_OVERDUE_S: typing.Final = 0.25
+RESPONSE_OVERDUE_FACTOR: typing.Final = 6.0
+WAITING_INTERVAL_S: typing.Final = 0.1
 # Callers repeat unacknowledged data after 200 ms; less is a duplicate in the network.
 REPEAT_MIN_S: typing.Final = 0.15
 # A peer's suspicion says nothing of an upstream heard of more recently than that.
@@ -21,12 +29,20 @@
 # A longer pause of this process makes every flow look silent.
 PAUSE_S: typing.Final = 0.1
 PROBE_INTERVAL_S: typing.Final = 0.5  # The interval at which the users' fabric probes.
+# One connection may be lost; with two in a row and silent flows the host is gone.
+PROBES_SILENT: typing.Final = 2
 LATENCY_GAIN: typing.Final = 0.05
 SWEEP_INTERVAL_S: typing.Final = 0.5
 FLOWS_MAX: typing.Final = 100_000  # About 30 MB; a machine of the users has 114 MB.
 SEQUENCE_RANGE: typing.Final = 2**32
 HALF_SEQUENCE_RANGE: typing.Final = 2**31
 
+FlowKey = tuple[int, int, int, int]
+"""IPv4 address and port of a caller, then of the target it opened the flow to."""
+
+Incarnation = tuple[str, int]
+"""Name and start of an upstream: a restarted one knows nothing of before."""
+
 Record = abc.Callable[..., None]
 """Takes the name of a decision or belief and its inputs as keywords."""
 
@@ -72,22 +88,41 @@
 Action = Forward | Refuse | Drop
 
 
+class Order(typing.NamedTuple):
+    """Something to send without a packet that asks for it right now."""
+
+    action: Forward | Refuse
+    segment: Segment
+    packet: bytes
+
+
+ProbeOutcome = typing.Literal["passed", "failed", "busy", "refused", "silent"]
+"""Healthy; answered otherwise; connected but did not answer in time; its machine has no
+such port; did not connect in time."""
+
+
 class Flow:
     """A flow that this balancer placed.
 
-    `placed_at` is when its last opening was sent on, `asked_at` when its request was.
-    `counted` tells whether it is among its upstream's outstanding requests.
+    `placed_at` is when it was given to its upstream, `asked_at` when its request was
+    sent on. `counted` tells whether it is among its upstream's outstanding requests.
+    `segment` and `packet` are its opening; `repeated` if that was sent twice.
     """
 
     __slots__ = (
         "acknowledged",
+        "arrived_at",
         "asked_at",
         "counted",
+        "key",
         "opened",
         "overdue",
+        "packet",
         "placed_at",
+        "repeated",
         "route",
         "seen_at",
+        "segment",
         "sent_through",
         "sequence",
         "tried",
@@ -96,22 +131,29 @@
 
     def __init__(
         self,
+        key: FlowKey,
         route: routing.Route,
         upstream: directory.Upstream,
-        sequence: int,
+        segment: Segment,
+        packet: bytes,
         now: float,
     ) -> None:
+        self.key = key
+        self.overdue = False
         self.route = route
         self.upstream = upstream
-        self.sequence = sequence
+        self.segment = segment
+        self.packet = packet
+        self.sequence = segment.sequence
+        self.arrived_at = now
         self.placed_at = now
         self.seen_at = now
         self.asked_at = now
         self.counted = False
         self.opened = False
-        self.overdue = False
+        self.repeated = False
         self.acknowledged = 0
-        self.sent_through = sequence
+        self.sent_through = segment.sequence
         self.tried: list[str] = []
 
 
@@ -141,19 +183,22 @@
         self.configuration = routing.EMPTY_CONFIGURATION
         self.configured_at = 0.0
         self.directory_at = 0.0
-        self.flows: dict[tuple[int, int, int, int], Flow] = {}
-        self.pending: dict[tuple[int, int, int, int], Flow] = {}
-        self.outlooks: dict[str, outlook.Outlook] = {}
+        self.flows: dict[FlowKey, Flow] = {}
+        self.pending: dict[FlowKey, Flow] = {}
+        self.waiting: dict[FlowKey, Flow] = {}
+        self.waited_at = 0.0
+        self.outlooks: dict[Incarnation, outlook.Outlook] = {}
         self.latency_s: dict[str, float] = {}
         self.ticked_at = 0.0
         self.swept_at = 0.0
         self.judge_from = 0.0
         self.silent_zones: set[str] = set()
+        self.orders: list[Order] = []
 
-    def handle(self, segment: Segment, now: float) -> Action:
+    def handle(self, segment: Segment, packet: bytes, now: float) -> Action:
         """Decide what becomes of a caller's packet."""
         if segment.opening:
-            return self._open(segment, now)
+            return self._open(segment, packet, now)
         return self._carry(segment, now)
 
     def configure(self, configuration: routing.Configuration, now: float) -> bool:
@@ -182,24 +227,32 @@
         self.directory_at = now
         for update in self.directory.apply(changes, revision, snapshot, now):
             self._record_update(update)
+            if update.outcome == "restarted":
+                self._abandon(update.name, "its upstream has restarted", now)
 
     def hear_peer(self, report: neighbours.Report, now: float) -> bool:
         """Take a peer's report; return False if it is an old one."""
         if not self.peers.record(report, now):
             return False
-        if report.zone == self.zone:
-            for entry in report.loads:
-                upstream = self.directory.by_token.get(entry.token)
-                if entry.suspected and upstream is not None:
-                    since = now - PEER_SUSPICION_AGE_S
-                    self._note_silence(upstream, since, report.name, now)
+        for entry in report.loads:
+            upstream = self.directory.by_token.get(entry.token)
+            if not entry.suspected or upstream is None:
+                continue
+            evidence = self._find_outlook(upstream)
+            if now - evidence.heard_at <= PEER_SUSPICION_AGE_S:
+                continue
+            if report.zone == self.zone:
+                self._suspect(upstream, evidence, report.name, now)
+            elif now - evidence.doubted_at > PROBE_INTERVAL_S:
+                # A peer of another zone may be cut off from the upstream itself.
+                evidence.doubt(now)
         return True
 
     def list_loads(self) -> tuple[neighbours.UpstreamLoad, ...]:
         """Return this balancer's own outstanding requests and suspicions."""
         loads = []
-        for name, evidence in self.outlooks.items():
-            upstream = self.directory.upstreams.get(name)
+        for incarnation, evidence in self.outlooks.items():
+            upstream = self._find_current(incarnation)
             suspected = evidence.suspected_at is not None and evidence.own
             if upstream is not None and (evidence.outstanding or suspected):
                 loads.append(
@@ -221,6 +274,9 @@
             self.silent_zones = silent
             self.record("silent zones", zones=sorted(silent))
         self._judge_openings(now)
+        if now - self.waited_at >= WAITING_INTERVAL_S:
+            self.waited_at = now
+            self._judge_responses(now)
         for update in self.directory.expire(now):
             self._record_update(update)
         if now - self.swept_at >= SWEEP_INTERVAL_S:
@@ -229,19 +285,32 @@
         return self._list_probes(now)
 
     def record_probe(
-        self, upstream: directory.Upstream, passed: bool, outcome: str, now: float
+        self,
+        upstream: directory.Upstream,
+        outcome: ProbeOutcome,
+        detail: str,
+        now: float,
     ) -> None:
         """Take the result of a health check of a suspected upstream."""
         evidence = self._find_outlook(upstream)
         since = evidence.suspected_at
-        if evidence.record_probe(passed, now):
+        evidence.probing = False
+        if evidence.record_probe(outcome == "passed", outcome == "silent", now):
             self.record(
                 "upstream trusted",
                 upstream=upstream.name,
                 evidence="probe",
-                outcome=outcome,
+                outcome=detail,
                 suspected_s=round(now - (since or now), 3),
             )
+        if outcome in ("passed", "busy") or evidence.heard_at >= evidence.doubted_at:
+            return
+        self._suspect(upstream, evidence, detail, now)
+        if outcome == "refused":
+            self._abandon(upstream.name, "its upstream has ended", now)
+        elif outcome == "silent" and evidence.silent_probes >= PROBES_SILENT:
+            if upstream.zone not in self.silent_zones:
+                self._abandon(upstream.name, "its upstream is silent", now)
 
     def find_unserved(self) -> list[str]:
         """Return the routed services of which every upstream is silent."""
@@ -255,7 +324,7 @@
                 unserved.append(service)
         return unserved
 
-    def _open(self, segment: Segment, now: float) -> Action:
+    def _open(self, segment: Segment, packet: bytes, now: float) -> Action:
         route = self.configuration.routes.get(segment.target)
         if route is None:
             reason = "no route" if self.configuration.version else "no configuration"
@@ -273,48 +342,64 @@
             return chosen
         if len(self.flows) >= FLOWS_MAX:
             self._forget(*next(iter(self.flows.items())))
-        flow = Flow(route, chosen.upstream, segment.sequence, now)
+        flow = Flow(key, route, chosen.upstream, segment, packet, now)
         self.flows[key] = flow
         self._place(key, flow, segment, chosen, now)
         return Forward(chosen.upstream, mark=True)
 
     def _repeat_opening(
         self,
-        key: tuple[int, int, int, int],
+        key: FlowKey,
         flow: Flow,
         segment: Segment,
         now: float,
     ) -> Action:
         """Offer a copy of an opening to the next upstream if the last one is silent."""
-        evidence = self._find_outlook(flow.upstream)
-        is_alive = evidence.heard_at >= flow.placed_at
-        if flow.opened or (is_alive and flow.upstream.name in self.directory.upstreams):
+        if flow.opened or self._is_answering(flow):
+            return Forward(flow.upstream, mark=True)
+        if now - flow.placed_at < OPENING_MOVED_S:
             return Forward(flow.upstream, mark=True)
         if self._may_judge(now):
             self._note_silence(flow.upstream, flow.placed_at, "repeated opening", now)
+        return self._move_opening(key, flow, segment, now)
+
+    def _move_opening(
+        self,
+        key: FlowKey,
+        flow: Flow,
+        segment: Segment,
+        now: float,
+    ) -> Forward | Refuse:
+        """Offer an opening that its upstream did not answer to another one."""
         flow.tried.append(flow.upstream.name)
+        self._uncount(flow)
         chosen = self._choose(flow.route, key, flow.tried, now)
         if isinstance(chosen, Refuse):
             self._record_refusal(segment, chosen.reason)
             self._forget(key, flow)
             return chosen
-        self._uncount(flow)
         flow.upstream = chosen.upstream
-        flow.placed_at = flow.seen_at = flow.asked_at = now
-        flow.overdue = False
+        flow.placed_at = flow.asked_at = now
+        flow.repeated = False
         self._place(key, flow, segment, chosen, now)
         return Forward(chosen.upstream, mark=True)
 
+    def _is_answering(self, flow: Flow) -> bool:
+        """Tell whether the upstream answered others since it got this opening."""
+        evidence = self._find_outlook(flow.upstream)
+        is_alive = evidence.heard_at >= flow.placed_at
+        return is_alive and flow.upstream.name in self.directory.upstreams
+
     def _place(
         self,
-        key: tuple[int, int, int, int],
+        key: FlowKey,
         flow: Flow,
         segment: Segment,
         chosen: selection.Candidate,
         now: float,
     ) -> None:
-        flow.counted = True
-        self._find_outlook(chosen.upstream).outstanding += 1
+        self._count(flow)
+        self.pending.pop(key, None)
         self.pending[key] = flow
         self.record(
             "placed",
@@ -332,7 +417,7 @@
     def _choose(
         self,
         route: routing.Route,
-        key: tuple[int, int, int, int],
+        key: FlowKey,
         tried: abc.Sequence[str],
         now: float,
     ) -> selection.Candidate | Refuse:
@@ -400,7 +485,7 @@
 
     def _observe(
         self,
-        key: tuple[int, int, int, int],
+        key: FlowKey,
         flow: Flow,
         segment: Segment,
         now: float,
@@ -420,11 +505,17 @@
                 self._uncount(flow)
                 self._learn_latency(flow, evidence, now)
         if segment.length:
-            self._observe_data(flow, segment, now)
+            self._observe_data(key, flow, segment, now)
         if segment.closing or segment.reset:
             self._forget(key, flow)
 
-    def _observe_data(self, flow: Flow, segment: Segment, now: float) -> None:
+    def _observe_data(
+        self,
+        key: FlowKey,
+        flow: Flow,
+        segment: Segment,
+        now: float,
+    ) -> None:
         end = (segment.sequence + segment.length) % SEQUENCE_RANGE
         if _is_after(end, flow.sent_through):
             flow.sent_through = end
@@ -433,6 +524,9 @@
                 self._count(flow)
         elif now - flow.asked_at > REPEAT_MIN_S and self._may_judge(now):
             self._note_silence(flow.upstream, flow.asked_at, "repeated data", now)
+            unreachable = flow.upstream.zone in self.silent_zones
+            if unreachable and flow.route.kind != "unsafe":
+                self._give_up(key, flow, "its upstream can not be reached")
 
     def _learn_latency(self, flow: Flow, evidence: outlook.Outlook, now: float) -> None:
         latency_s = now - flow.asked_at
@@ -450,29 +544,96 @@
             evidence.record_latency(latency_s / max(typical_s, 0.001))
 
     def _judge_openings(self, now: float) -> None:
-        """Hold openings against upstreams from which nothing came back in time."""
+        """Hold openings against silent upstreams; repeat them, then move them.
+
+        The packet may have been lost, so it is repeated to the same upstream first.
+        """
         if not self._may_judge(now):
             return
         for key, flow in list(self.pending.items()):
-            if now - flow.placed_at < OPENING_EXPECTED_S:
+            waited_s = now - flow.placed_at
+            if waited_s < OPENING_EXPECTED_S:
                 # Openings are pending in the order in which they were placed.
                 break
-            del self.pending[key]
-            if not flow.overdue:
-                flow.overdue = True
+            if now - flow.arrived_at > OPENING_GIVEN_UP_S:
+                del self.pending[key]
+            elif not flow.repeated:
+                flow.repeated = True
                 self._note_silence(flow.upstream, flow.placed_at, "no handshake", now)
+                self._order(Forward(flow.upstream, mark=True), flow)
+            elif waited_s >= OPENING_MOVED_S:
+                self._order(self._move_opening(key, flow, flow.segment, now), flow)
+
+    def _judge_responses(self, now: float) -> None:
+        """Doubt the upstreams whose responses are unusually late."""
+        if not self._may_judge(now):
+            return
+        for flow in self.waiting.values():
+            if flow.overdue or not flow.opened:
+                continue
+            typical_s = self.latency_s.get(flow.route.name, 0.0)
+            allowed_s = max(RESPONSE_OVERDUE_S, RESPONSE_OVERDUE_FACTOR * typical_s)
+            if now - flow.asked_at > allowed_s:
+                flow.overdue = True
+                evidence = self._find_outlook(flow.upstream)
+                # Late responses of a host that answers others mean load, not silence.
+                if now - evidence.heard_at > allowed_s:
+                    evidence.doubt(now)
+
+    def _order(self, action: Forward | Refuse, flow: Flow) -> None:
+        self.orders.append(Order(action, flow.segment, flow.packet))
+
+    def _abandon(self, name: str, reason: str, now: float) -> None:
+        """Give up the flows of an upstream that is known to have ended.
+
+        Callers may repeat these requests, and are told at once instead of at their
+        deadline. Requests that may run only once are left to their callers.
+        """
+        for key, flow in list(self.flows.items()):
+            if flow.upstream.name != name:
+                continue
+            if not flow.opened:
+                if key in self.pending:
+                    self._order(self._move_opening(key, flow, flow.segment, now), flow)
+            elif flow.route.kind != "unsafe":
+                self._give_up(key, flow, reason)
+
+    def _give_up(self, key: FlowKey, flow: Flow, reason: str) -> None:
+        """Reset an open flow."""
+        last = flow.segment._replace(acknowledged=flow.acknowledged, opening=False)
+        self.record(
+            "given up",
+            segment=last,
+            route=flow.route.name,
+            upstream=flow.upstream.name,
+            reason=reason,
+            upstreams=self.directory.revision,
+        )
+        self.orders.append(Order(Refuse(reason), last, b""))
+        self._forget(key, flow)
 
     def _note_silence(
-        self, upstream: directory.Upstream, since: float, evidence: str, now: float
+        self, upstream: directory.Upstream, since: float, cause: str, now: float
+    ) -> None:
+        """Doubt an upstream for one silent flow, suspect it for a second."""
+        evidence = self._find_outlook(upstream)
+        if evidence.record_strike(since, now):
+            self._suspect(upstream, evidence, cause, now)
+
+    def _suspect(
+        self,
+        upstream: directory.Upstream,
+        evidence: outlook.Outlook,
+        cause: str,
+        now: float,
     ) -> None:
-        known = self._find_outlook(upstream)
-        own = evidence not in self.peers.peers
-        if known.record_silence(since, own, now):
+        if evidence.suspect(cause not in self.peers.peers, now):
             self.record(
                 "upstream suspected",
                 upstream=upstream.name,
-                evidence=evidence,
-                silent_s=round(now - since, 3),
+                evidence=cause,
+                silent_s=round(min(now - evidence.heard_at, 999.0), 3),
+                strikes=evidence.strikes,
                 upstreams=self.directory.revision,
             )
 
@@ -490,15 +651,21 @@
 
     def _list_probes(self, now: float) -> list[directory.Upstream]:
         due = []
-        for name, evidence in self.outlooks.items():
-            upstream = self.directory.upstreams.get(name)
-            if upstream is None or evidence.suspected_at is None:
+        for incarnation, evidence in self.outlooks.items():
+            upstream = self._find_current(incarnation)
+            if upstream is None or upstream.draining:
+                continue
+            if upstream.zone in self.silent_zones:
                 continue
-            if upstream.draining or upstream.zone in self.silent_zones:
+            if upstream.service not in self.configuration.services:
                 continue
-            waited_s = now - max(evidence.probed_at, evidence.suspected_at)
-            first = evidence.probed_at < evidence.suspected_at
-            if first or waited_s >= PROBE_INTERVAL_S:
+            doubted = evidence.doubted_at > evidence.probed_at
+            waited = now - evidence.probed_at >= PROBE_INTERVAL_S
+            again = evidence.silent_probes == 1 and not evidence.probing
+            if not evidence.probing and (
+                doubted or again or (evidence.suspected_at is not None and waited)
+            ):
+                evidence.probing = True
                 evidence.probed_at = now
                 due.append(upstream)
         return due
@@ -511,30 +678,38 @@
                 self._forget(key, flow)
             elif flow.counted and quiet_s > flow.route.timeout_s:
                 self._uncount(flow)
-        for name in [name for name in self.outlooks if name not in self._kept_names()]:
-            del self.outlooks[name]
-
-    def _kept_names(self) -> abc.Container[str]:
-        return self.directory.upstreams.keys() | self.directory.removed.keys()
+        for incarnation in list(self.outlooks):
+            if self._find_current(incarnation) is None:
+                del self.outlooks[incarnation]
 
     def _find_outlook(self, upstream: directory.Upstream) -> outlook.Outlook:
-        known = self.outlooks.get(upstream.name)
-        if known is None or known.born_ms != upstream.born_ms:
-            # A restarted upstream holds nothing of what its predecessor was sent.
-            known = self.outlooks[upstream.name] = outlook.Outlook(upstream.born_ms)
+        incarnation = (upstream.name, upstream.born_ms)
+        known = self.outlooks.get(incarnation)
+        if known is None:
+            known = self.outlooks[incarnation] = outlook.Outlook()
         return known
 
+    def _find_current(self, incarnation: Incarnation) -> directory.Upstream | None:
+        """Return the registered upstream, unless it has started anew since."""
+        upstream = self.directory.upstreams.get(incarnation[0])
+        if upstream is None or upstream.born_ms != incarnation[1]:
+            return None
+        return upstream
+
     def _count(self, flow: Flow) -> None:
         flow.counted = True
+        flow.overdue = False
+        self.waiting[flow.key] = flow
         self._find_outlook(flow.upstream).outstanding += 1
 
     def _uncount(self, flow: Flow) -> None:
         if flow.counted:
             flow.counted = False
+            self.waiting.pop(flow.key, None)
             evidence = self._find_outlook(flow.upstream)
             evidence.outstanding = max(0, evidence.outstanding - 1)
 
-    def _forget(self, key: tuple[int, int, int, int], flow: Flow) -> None:
+    def _forget(self, key: FlowKey, flow: Flow) -> None:
         self._uncount(flow)
         self.flows.pop(key, None)
         self.pending.pop(key, None)
--- /dev/null
+++ b/standins/metadatastore.py
@@ -0,0 +1,116 @@
+"""A stand-in for the users' metadata store: reads, watches, and its failures."""
+
+import asyncio
+import base64
+import typing
+import urllib.parse
+
+import msgspec
+
+from pistachioshed.adapters import http1
+
+PAGE_ITEMS: typing.Final = 50
+
+Failure = typing.Literal["none", "busy", "silent", "many"]
+
+
+class MetadataStore:
+    """Keys with revisions, and the changes since `history_from`."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.items: dict[str, dict[str, object]] = {}
+        self.history: list[dict[str, object]] = []
+        self.history_from = 1
+        self.failure: Failure = "none"
+        self.calls = 0
+        self.changed = asyncio.Event()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> tuple[str, int]:
+        """Listen on the loopback interface and return the address."""
+        self.server = await http1.start_server(("127.0.0.1", 0), self.answer)
+        address: tuple[str, int] = self.server.sockets[0].getsockname()
+        return address
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write a key and return its revision."""
+        self.revision += 1
+        self.items[key] = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": self.revision,
+            "lease": 0,
+        }
+        self._note(self.items[key])
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        del self.items[key]
+        self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def forget_history(self) -> None:
+        """Drop the history, as the store may at any time."""
+        self.history.clear()
+        self.history_from = self.revision
+        self.changed.set()
+
+    async def answer(self, request: http1.Request) -> http1.Response:
+        """Answer a call, or fail as set."""
+        self.calls += 1
+        if self.failure == "silent":
+            await asyncio.sleep(60.0)
+        if self.failure != "none":
+            return http1.Response(429 if self.failure == "many" else 503, {}, b"")
+        url = urllib.parse.urlsplit(request.target)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if url.path == "/api/kv-range":
+            return self._answer_range(query)
+        if url.path == "/api/kv-watch":
+            return await self._answer_watch(query)
+        return http1.Response(404, {}, b"")
+
+    def _answer_range(self, query: dict[str, str]) -> http1.Response:
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        )
+        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        truncated = len(keys) > PAGE_ITEMS
+        return _encode({"items": page, "truncated": truncated, "as-of": self.revision})
+
+    async def _answer_watch(self, query: dict[str, str]) -> http1.Response:
+        after = int(query["after"])
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + int(query["wait-ms"]) / 1000
+        while True:
+            if after < self.history_from:
+                return http1.Response(410, {}, b"")
+            events = [
+                change
+                for change in self.history
+                if typing.cast(int, change["revision"]) > after
+                and str(change["key"]).startswith(query["prefix"])
+            ]
+            left_s = deadline - loop.time()
+            if events or left_s <= 0:
+                return _encode({"events": events, "as-of": self.revision})
+            self.changed.clear()
+            try:
+                async with asyncio.timeout(left_s):
+                    await self.changed.wait()
+            except TimeoutError:
+                continue
+
+    def _note(self, change: dict[str, object]) -> None:
+        self.history.append(change)
+        self.changed.set()
+
+
+def _encode(content: dict[str, object]) -> http1.Response:
+    headers = {"Content-Type": "application/json"}
+    return http1.Response(200, headers, msgspec.json.encode(content))
--- /dev/null
+++ b/tests/forwarderfleet.py
@@ -0,0 +1,200 @@
+"""Forwarders on loopback addresses, with the stand-ins around them."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import socket
+import typing
+from collections import abc
+
+import msgspec
+
+from pistachioshed.adapters import http1, jsonlog
+from pistachioshed.apps import forwarder, forwarderoptions
+from pistachioshed.core import steering
+from pistachioshed.platform import packets
+from standins import metadatastore
+
+CALLER_IP: typing.Final = "127.0.0.99"
+TARGET: typing.Final = ("198.18.0.1", 443)
+DEADLINE_S: typing.Final = 8.0
+
+
+def find_port() -> int:
+    """Return a port that is free on all loopback addresses used here."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def encode_configuration(version: int, services: tuple[str, ...]) -> bytes:
+    """Return a configuration whose only route leads to the first service."""
+    route = {
+        "name": "r-1",
+        "host": TARGET[0],
+        "prefix": f"/{TARGET[1]}/",
+        "kind": "safe",
+        "timeout-ms": 1500,
+        "target-latency-ms": 150,
+        "priority": 2,
+        "service": services[0],
+    }
+    entries = [
+        {"name": name, "health-path": "/health", "connection-limit": 2000}
+        for name in services
+    ]
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": [route],
+            "services": entries,
+            "limits": {"idle-timeout-ms": 15000},
+        }
+    )
+
+
+def encode_entry(address: tuple[str, int], **changes: typing.Any) -> bytes:
+    """Return the entry of a host of booking."""
+    entry = {
+        "service": "booking",
+        "address": f"{address[0]}:{address[1]}",
+        "zone": "riga-a",
+        "slots": 2,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return msgspec.json.encode(entry | changes)
+
+
+def encode_packet(segment: steering.Segment) -> bytes:
+    """Return the packet that a caller sends."""
+    flags = packets.FLAG_OPENING if segment.opening else packets.FLAG_ACKNOWLEDGING
+    return packets.HEADER.pack(
+        segment.sequence,
+        segment.copy if segment.opening else segment.acknowledged,
+        segment.token,
+        0,
+        segment.caller[1],
+        segment.target[1],
+        segment.target[0],
+        segment.caller[0],
+        flags,
+        0x1234,
+    )
+
+
+def build_opening(port: int) -> steering.Segment:
+    """Return the opening of a caller's flow."""
+    return steering.Segment(
+        caller=(packets.parse_ip(CALLER_IP), port),
+        target=(packets.parse_ip(TARGET[0]), TARGET[1]),
+        sequence=1_000,
+        acknowledged=0,
+        copy=0,
+        token=0,
+        length=0,
+        opening=True,
+        closing=False,
+        reset=False,
+    )
+
+
+class Inbox:
+    """A UDP socket whose datagrams are awaited one by one."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.address: tuple[str, int] = self.sock.getsockname()
+
+    async def receive(self, timeout_s: float = DEADLINE_S) -> bytes:
+        """Return the next datagram."""
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(timeout_s):
+            return await loop.sock_recv(self.sock, 2048)
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram."""
+        self.sock.sendto(data, address)
+
+
+class Fleet:
+    """Forwarders at 127.0.1.1, 127.0.1.2 and so on, and one store."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.store = metadatastore.MetadataStore()
+        self.store_address = ("", 0)
+        self.port = find_port()
+        self.peers_port = find_port()
+        self.http_port = find_port()
+        self.running: dict[str, tuple[forwarder.Forwarder, asyncio.Task[None]]] = {}
+        self.inboxes: list[Inbox] = []
+        self.stack = contextlib.ExitStack()
+
+    async def start(self) -> None:
+        """Start the store."""
+        self.store_address = await self.store.start()
+
+    async def start_forwarder(self, number: int) -> forwarder.Forwarder:
+        """Start a forwarder of which the first one is the seed."""
+        ip = f"127.0.1.{number}"
+        name = f"front-{number}"
+        settings = forwarderoptions.ForwarderSettings(
+            name,
+            "riga-a",
+            (ip, self.port),
+            (ip, self.http_port),
+            (ip, self.peers_port),
+            (ip, self.http_port + 1),
+            self.store_address,
+            ("127.0.1.1",),
+            3.0,
+            10.0,
+        )
+        path = self.folder / f"{name}.ini"
+        path.write_text("")
+        null = os.open(os.devnull, os.O_WRONLY)
+        self.stack.callback(os.close, null)
+        started = forwarder.Forwarder(settings, path, jsonlog.BoundedStream(null))
+        task = asyncio.get_running_loop().create_task(started.run())
+        self.running[name] = started, task
+        return started
+
+    def open_inbox(self, ip: str, port: int = 0) -> Inbox:
+        """Open a socket that plays a caller or a host."""
+        inbox = Inbox((ip, port))
+        self.inboxes.append(inbox)
+        return inbox
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        for _, task in self.running.values():
+            task.cancel()
+        tasks = [task for _, task in self.running.values()]
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self.store.server is not None:
+            self.store.server.close()
+        for inbox in self.inboxes:
+            inbox.sock.close()
+        self.stack.close()
+
+
+async def wait_until(condition: abc.Callable[[], bool]) -> None:
+    """Wait for a condition, and fail at the deadline."""
+    async with asyncio.timeout(DEADLINE_S):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+async def get(address: tuple[str, int], target: str) -> http1.Response:
+    """Send one request on a connection of its own."""
+    connection = http1.Connection(address)
+    try:
+        return await connection.request("GET", target, 2.0)
+    finally:
+        connection.close()
--- /dev/null
+++ b/tests/steeringbuilders.py
@@ -0,0 +1,170 @@
+"""Builders of upstreams, routes, packets and balancers for tests of the forwarder."""
+
+import typing
+
+from pistachioshed.core import directory, neighbours, routing, steering
+
+CALLER: typing.Final = (0x64400007, 40001)
+TARGET: typing.Final = (0xC6120001, 443)
+SHEETS_TARGET: typing.Final = (0xC6120002, 443)
+
+
+def build_upstream(number: int, **changes: typing.Any) -> directory.Upstream:
+    """Return a ready upstream of booking."""
+    upstream = directory.Upstream(
+        name=f"i-{number:08x}",
+        number=number,
+        token=number,
+        service="booking",
+        address=(f"10.1.64.{number}", 8080),
+        zone="riga-a",
+        slots=2,
+        draining=False,
+        cold_s=0.0,
+        born_ms=1,
+    )
+    return upstream._replace(**changes)
+
+
+def build_route(**changes: typing.Any) -> routing.Route:
+    """Return a route to booking."""
+    route = routing.Route(
+        name="r-check",
+        target=TARGET,
+        shares=(routing.Share("booking", 1.0),),
+        kind="safe",
+        timeout_s=1.5,
+        target_latency_s=0.15,
+        priority=2,
+    )
+    return route._replace(**changes)
+
+
+def build_configuration(
+    version: int = 1, *routes: routing.Route
+) -> routing.Configuration:
+    """Return a configuration with the given routes, or with one to booking."""
+    chosen = routes or (build_route(),)
+    limits = routing.ServiceLimits("/health", 2_000)
+    return routing.Configuration(
+        version,
+        {route.target: route for route in chosen},
+        {"booking": limits, "sheets": limits},
+        15.0,
+    )
+
+
+def build_segment(**changes: typing.Any) -> steering.Segment:
+    """Return the opening of a flow."""
+    segment = steering.Segment(
+        caller=CALLER,
+        target=TARGET,
+        sequence=1_000,
+        acknowledged=0,
+        copy=0,
+        token=0,
+        length=0,
+        opening=True,
+        closing=False,
+        reset=False,
+    )
+    return segment._replace(**changes)
+
+
+def build_data(token: int, **changes: typing.Any) -> steering.Segment:
+    """Return a packet of an open flow, without data."""
+    values = {"token": token, "opening": False, "sequence": 1_001, "acknowledged": 501}
+    return build_segment(**(values | changes))
+
+
+def build_report(name: str, **changes: typing.Any) -> neighbours.Report:
+    """Return the first report of a peer of the same zone."""
+    report = neighbours.Report(
+        name=name,
+        zone="riga-a",
+        address=("10.1.0.9", 7720),
+        start_ms=1,
+        sequence=1,
+        watches=True,
+        leaving=False,
+        capacity=1.0,
+        upstreams_changed=1,
+        configuration_version=1,
+        loads=(),
+        peers=(),
+    )
+    return report._replace(**changes)
+
+
+class Balancer:
+    """A `Steering` with its log, fed with packets at given times."""
+
+    def __init__(
+        self,
+        *upstreams: directory.Upstream,
+        configuration: routing.Configuration | None = None,
+    ) -> None:
+        self.log: list[tuple[str, dict[str, typing.Any]]] = []
+        self.peers = neighbours.Neighbours("front-1", "riga-a", ())
+        self.steering = steering.Steering("riga-a", self.peers, self.record, 1)
+        self.steering.configure(configuration or build_configuration(), 0.0)
+        self.revision = 0
+        self.register(*upstreams, snapshot=True)
+
+    def record(self, event: str, **fields: typing.Any) -> None:
+        """Keep a line of the log."""
+        self.log.append((event, fields))
+
+    def register(
+        self, *upstreams: directory.Upstream, snapshot: bool = False, now: float = 0.0
+    ) -> None:
+        """Deliver entries at the next revision."""
+        self.revision += 1
+        changes = [
+            directory.Change(upstream.name, upstream, self.revision)
+            for upstream in upstreams
+        ]
+        self.steering.update_directory(changes, self.revision, snapshot, now)
+
+    def remove(self, *upstreams: directory.Upstream, now: float) -> None:
+        """Deliver the removal of entries at the next revision."""
+        self.revision += 1
+        changes = [
+            directory.Change(upstream.name, None, self.revision)
+            for upstream in upstreams
+        ]
+        self.steering.update_directory(changes, self.revision, False, now)
+
+    def open(self, port: int = CALLER[1], now: float = 0.0) -> directory.Upstream:
+        """Open a flow and return its upstream."""
+        action = self.send(build_segment(caller=(CALLER[0], port)), now)
+        assert isinstance(action, steering.Forward)
+        return action.upstream
+
+    def answer(
+        self, upstream: directory.Upstream, port: int = CALLER[1], now: float = 0.0
+    ) -> None:
+        """Pass the caller's end of the handshake of a flow."""
+        self.send(build_data(upstream.token, caller=(CALLER[0], port)), now)
+
+    def send(self, segment: steering.Segment, now: float = 0.0) -> steering.Action:
+        """Handle a packet."""
+        return self.steering.handle(segment, b"packet", now)
+
+    def tick(self, now: float) -> list[directory.Upstream]:
+        """Let time pass in steps in which the process counts as running."""
+        due: list[directory.Upstream] = []
+        step = self.steering.ticked_at
+        while step < now:
+            step = min(now, step + 0.02)
+            due += self.steering.tick(step)
+        return due
+
+    def take_orders(self) -> list[steering.Order]:
+        """Return what was ordered since the last call."""
+        orders, self.steering.orders = self.steering.orders, []
+        return orders
+
+    def find_events(self, event: str) -> list[dict[str, typing.Any]]:
+        """Return the fields of all lines of one event."""
+        return [fields for name, fields in self.log if name == event]
--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,189 @@
+"""Whole forwarders on the loopback interface, with a stand-in of the store."""
+
+import asyncio
+import contextlib
+import pathlib
+from collections import abc
+
+from pistachioshed.platform import packets
+from tests import forwarderfleet
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(folder: pathlib.Path) -> abc.AsyncIterator[forwarderfleet.Fleet]:
+    """Start a store with one configuration; end all at the end."""
+    fleet = forwarderfleet.Fleet(folder)
+    await fleet.start()
+    configuration = forwarderfleet.encode_configuration(1, ("booking", "sheets"))
+    fleet.store.put("op/config", configuration)
+    try:
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+def test_a_flow_is_opened_and_carried_by_another_forwarder(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against a token that only the balancer that wrote it understands."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            host = fleet.open_inbox("127.0.0.50")
+            caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
+            entry = forwarderfleet.encode_entry(host.address)
+            fleet.store.put("servers/i-7f3a91c2", entry)
+            first = await fleet.start_forwarder(1)
+            second = await fleet.start_forwarder(2)
+            for each in (first, second):
+                await forwarderfleet.wait_until(
+                    lambda each=each: bool(each.decisions.directory.upstreams)  # type: ignore[misc]
+                )
+            opening = forwarderfleet.build_opening(40001)
+            data = forwarderfleet.encode_packet(opening)
+            caller.send(data, first.settings.packets)
+            taken = await host.receive()
+            assert taken[:8] == (0x7F3A91C2).to_bytes(8, "big")
+            token = packets.decode_packet(taken[8:]).token
+            rest = forwarderfleet.encode_packet(
+                opening._replace(opening=False, token=token)
+            )
+            caller.send(rest, second.settings.packets)
+            while (taken := await host.receive())[8:] != rest:
+                assert packets.decode_packet(taken[8:]).opening
+
+    asyncio.run(scenario())
+
+
+def test_an_opening_without_a_host_is_reset_at_once(tmp_path: pathlib.Path) -> None:
+    """Guard against callers that wait for what can not be served."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
+            first = await fleet.start_forwarder(1)
+            opening = forwarderfleet.build_opening(40001)
+            caller.send(forwarderfleet.encode_packet(opening), first.settings.packets)
+            reset = await caller.receive()
+            assert reset == packets.encode_reset(opening)
+
+    asyncio.run(scenario())
+
+
+def test_a_forwarder_is_ready_only_with_beliefs_and_until_it_stops(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against traffic for a balancer that can not place it, or that leaves."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            fleet.store.failure = "busy"
+            first = await fleet.start_forwarder(1)
+            address = first.settings.ready
+            await forwarderfleet.wait_until(lambda: fleet.store.calls > 1)
+            response = await forwarderfleet.get(address, "/api/ready")
+            assert response.status == 503
+            fleet.store.failure = "none"
+            await forwarderfleet.wait_until(lambda: first.presence.state == "serving")
+            response = await forwarderfleet.get(address, "/api/ready")
+            assert response.status == 200
+            first.request_stop()
+            response = await forwarderfleet.get(address, "/api/ready")
+            assert response.status == 503
+            await forwarderfleet.wait_until(fleet.running["front-1"][1].done)
+
+    asyncio.run(scenario())
+
+
+def test_changes_reach_forwarders_that_do_not_follow_the_store(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against store calls by every balancer, and against lost changes."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            fleet.store.put(
+                "servers/i-00000001", forwarderfleet.encode_entry(("127.0.0.50", 9))
+            )
+            fleet.store.put(
+                "servers/i-00000002", forwarderfleet.encode_entry(("127.0.0.51", 9))
+            )
+            forwarders = [await fleet.start_forwarder(number) for number in (1, 2, 3)]
+            third = forwarders[2]
+            await forwarderfleet.wait_until(
+                lambda: third.presence.state == "serving" and not third.watching
+            )
+            leaving = forwarderfleet.encode_entry(("127.0.0.50", 9), state="draining")
+            fleet.store.put("servers/i-00000001", leaving)
+            newer = forwarderfleet.encode_configuration(2, ("sheets", "booking"))
+            fleet.store.put("op/config", newer)
+            fleet.store.remove("servers/i-00000002")
+
+            def is_current() -> bool:
+                known = third.decisions
+                return (
+                    known.directory.upstreams["i-00000001"].draining
+                    and known.configuration.version == 2
+                    and "i-00000002" in known.directory.lapsed_at
+                )
+
+            await forwarderfleet.wait_until(is_current)
+            assert not third.watching
+
+    asyncio.run(scenario())
+
+
+def test_a_forwarder_that_starts_without_the_store_asks_its_peers(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against restarts that can not serve while the store is away."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            fleet.store.put(
+                "servers/i-00000001", forwarderfleet.encode_entry(("127.0.0.50", 9))
+            )
+            first = await fleet.start_forwarder(1)
+            await forwarderfleet.wait_until(lambda: first.presence.state == "serving")
+            fleet.store.failure = "silent"
+            second = await fleet.start_forwarder(2)
+            await forwarderfleet.wait_until(lambda: second.presence.state == "serving")
+            assert list(second.decisions.directory.upstreams) == ["i-00000001"]
+
+    asyncio.run(scenario())
+
+
+def test_lost_history_is_made_good_by_a_snapshot(tmp_path: pathlib.Path) -> None:
+    """Guard against a host that stays in use because its removal was forgotten."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            fleet.store.put(
+                "servers/i-00000001", forwarderfleet.encode_entry(("127.0.0.50", 9))
+            )
+            first = await fleet.start_forwarder(1)
+            directory = first.decisions.directory
+            await forwarderfleet.wait_until(lambda: bool(directory.upstreams))
+            fleet.store.failure = "busy"
+            fleet.store.changed.set()
+            fleet.store.remove("servers/i-00000001")
+            fleet.store.forget_history()
+            fleet.store.failure = "none"
+            await forwarderfleet.wait_until(lambda: not directory.upstreams)
+
+    asyncio.run(scenario())
+
+
+def test_metrics_are_served(tmp_path: pathlib.Path) -> None:
+    """Guard against a metrics page that fails or lacks the decisions."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            first = await fleet.start_forwarder(1)
+            await forwarderfleet.wait_until(lambda: first.presence.state == "serving")
+            response = await forwarderfleet.get(first.settings.metrics, "/metrics")
+            assert response.status == 200
+            assert b"pistachioshed_forwarder_configuration_version 1" in response.body
+            assert b"pistachioshed_forwarder_store_calls_total" in response.body
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_steering.py
@@ -0,0 +1,260 @@
+"""The forwarder's decisions about packets."""
+
+import pytest
+
+from pistachioshed.core import directory, neighbours, routing, steering
+from tests import steeringbuilders as build
+
+FIRST = build.build_upstream(1)
+SECOND = build.build_upstream(2, zone="riga-b")
+SHEETS = build.build_upstream(9, service="sheets")
+
+
+def find_other(upstream: directory.Upstream) -> directory.Upstream:
+    """Return the other one of the first two upstreams."""
+    return SECOND if upstream == FIRST else FIRST
+
+
+def test_an_opening_goes_to_an_upstream_of_its_route_and_is_marked() -> None:
+    """Guard against flows of one service that reach another."""
+    balancer = build.Balancer(SHEETS, FIRST)
+    assert balancer.send(build.build_segment()) == steering.Forward(FIRST, mark=True)
+
+
+def test_any_balancer_carries_a_flow_by_its_token() -> None:
+    """Guard against flows that break when the fabric moves them to another balancer."""
+    balancer = build.Balancer(FIRST, SECOND)
+    action = balancer.send(build.build_data(SECOND.token))
+    assert action == steering.Forward(SECOND, mark=False)
+
+
+def test_open_flows_follow_an_upstream_that_has_left_the_registry() -> None:
+    """Guard against flows cut by the removal of an entry."""
+    balancer = build.Balancer(FIRST, SECOND)
+    leaving = FIRST._replace(draining=True)
+    balancer.register(leaving)
+    balancer.remove(leaving, now=1.0)
+    action = balancer.send(build.build_data(FIRST.token), 1.5)
+    assert action == steering.Forward(leaving, mark=False)
+
+
+def test_an_open_flow_survives_the_removal_of_its_route() -> None:
+    """Guard against a configuration that cuts flows opened before it."""
+    balancer = build.Balancer(FIRST)
+    other = build.build_route(target=build.SHEETS_TARGET)
+    balancer.steering.configure(build.build_configuration(2, other), 1.0)
+    action = balancer.send(build.build_data(FIRST.token), 1.5)
+    assert action == steering.Forward(FIRST, mark=False)
+
+
+@pytest.mark.parametrize(
+    "setting", ["no route", "no configuration", "no upstream of booking"]
+)
+def test_an_opening_that_no_upstream_can_take_is_refused_at_once(
+    setting: str,
+) -> None:
+    """Guard against callers that wait for their deadline."""
+    balancer = build.Balancer(FIRST)
+    segment = build.build_segment()
+    if setting == "no route":
+        segment = segment._replace(target=build.SHEETS_TARGET)
+    elif setting == "no configuration":
+        balancer.steering.configuration = routing.EMPTY_CONFIGURATION
+    else:
+        balancer.register(FIRST._replace(draining=True))
+    assert balancer.send(segment) == steering.Refuse(setting)
+    assert balancer.find_events("refused")[0]["reason"] == setting
+
+
+def test_a_draining_upstream_gets_no_new_flow() -> None:
+    """Guard against work for hosts that leave."""
+    balancer = build.Balancer(FIRST, SECOND)
+    balancer.register(FIRST._replace(draining=True))
+    placed = {balancer.open(port) for port in range(40000, 40020)}
+    assert placed == {SECOND}
+
+
+def test_configuration_versions_never_fall() -> None:
+    """Guard against a late answer of the store that brings an old version back."""
+    balancer = build.Balancer(FIRST)
+    assert balancer.steering.configure(build.build_configuration(5), 1.0)
+    assert not balancer.steering.configure(build.build_configuration(4), 2.0)
+    assert balancer.steering.configuration.version == 5
+
+
+def test_copies_of_an_opening_stay_at_an_upstream_that_answers() -> None:
+    """Guard against a flow that two hosts accept."""
+    balancer = build.Balancer(FIRST, SECOND)
+    upstream = balancer.open(now=0.0)
+    copy = build.build_segment(copy=1)
+    assert balancer.send(copy, 0.05) == steering.Forward(upstream, mark=True)
+    balancer.answer(upstream, now=0.06)
+    assert balancer.send(copy, 0.3) == steering.Forward(upstream, mark=True)
+
+
+def test_a_lost_opening_is_repeated_before_the_caller_does() -> None:
+    """Guard against a wait of 200 ms for each packet that a link loses."""
+    balancer = build.Balancer(FIRST, SECOND)
+    upstream = balancer.open(now=0.0)
+    balancer.tick(0.08)
+    (order,) = balancer.take_orders()
+    assert order.action == steering.Forward(upstream, mark=True)
+    assert order.packet == b"packet"
+
+
+def test_an_opening_moves_away_from_a_silent_upstream() -> None:
+    """Guard against openings that wait for a dead host."""
+    balancer = build.Balancer(FIRST, SECOND)
+    upstream = balancer.open(now=0.0)
+    balancer.tick(0.14)
+    moved = balancer.take_orders()[-1]
+    assert moved.action == steering.Forward(find_other(upstream), mark=True)
+
+
+def test_one_silent_opening_leads_to_a_probe_and_two_to_suspicion() -> None:
+    """Guard against hosts that are shunned for one lost packet."""
+    balancer = build.Balancer(FIRST)
+    balancer.open(40000, now=0.0)
+    assert balancer.tick(0.08) == [FIRST]
+    assert balancer.find_events("upstream suspected") == []
+    balancer.open(40001, now=0.1)
+    balancer.tick(0.2)
+    (event,) = balancer.find_events("upstream suspected")
+    assert event["upstream"] == FIRST.name
+
+
+def test_a_pause_of_the_process_is_no_silence_of_upstreams() -> None:
+    """Guard against a balancer that wakes from a freeze and shuns every host."""
+    balancer = build.Balancer(FIRST)
+    balancer.tick(1.0)
+    balancer.open(40000, now=1.0)
+    balancer.open(40001, now=1.0)
+    balancer.steering.tick(5.0)
+    assert balancer.find_events("upstream suspected") == []
+
+
+def test_a_refused_probe_ends_repeatable_flows_and_leaves_the_others() -> None:
+    """Guard against callers that wait for a host that has ended.
+
+    A request that may have run and must not run twice is left to its caller.
+    """
+    check = build.build_route()
+    book = build.build_route(target=(build.TARGET[0], 8443), kind="unsafe")
+    configuration = build.build_configuration(1, check, book)
+    balancer = build.Balancer(FIRST, configuration=configuration)
+    balancer.open(40000, now=0.0)
+    balancer.answer(FIRST, 40000, now=0.01)
+    balancer.send(build.build_segment(target=book.target), 0.02)
+    balancer.send(build.build_data(FIRST.token, target=book.target), 0.03)
+    evidence = balancer.steering.outlooks[FIRST.name, 1]
+    evidence.doubt(0.4)
+    balancer.steering.record_probe(FIRST, "refused", "no listener", 0.5)
+    (order,) = balancer.take_orders()
+    assert isinstance(order.action, steering.Refuse)
+    assert order.segment.target == check.target
+    assert order.segment.acknowledged == 501
+
+
+def test_a_late_response_of_a_silent_host_leads_to_a_probe() -> None:
+    """Guard against callers that wait for a host which no new flow would uncover."""
+    balancer = build.Balancer(FIRST)
+    balancer.open(now=0.0)
+    balancer.answer(FIRST, now=0.01)
+    assert balancer.tick(0.2) == []
+    assert balancer.tick(0.5) == [FIRST]
+
+
+def test_two_silent_probes_are_needed_to_give_up_flows() -> None:
+    """Guard against flows reset because one connection was lost."""
+    balancer = build.Balancer(FIRST)
+    balancer.open(now=0.0)
+    balancer.answer(FIRST, now=0.01)
+    balancer.steering.outlooks[FIRST.name, 1].doubt(0.3)
+    balancer.steering.record_probe(FIRST, "silent", "timeout", 0.45)
+    assert balancer.take_orders() == []
+    balancer.steering.record_probe(FIRST, "silent", "timeout", 0.6)
+    assert len(balancer.take_orders()) == 1
+
+
+def test_a_restart_under_the_same_name_forgets_what_was_learned() -> None:
+    """Guard against suspicion and load of a process that no longer exists."""
+    balancer = build.Balancer(FIRST)
+    balancer.open(now=0.0)
+    balancer.answer(FIRST, now=0.01)
+    balancer.steering.outlooks[FIRST.name, 1].suspect(True, 0.1)
+    balancer.register(FIRST._replace(born_ms=2), now=0.2)
+    restarted = balancer.open(40009, now=0.3)
+    evidence = balancer.steering.outlooks[restarted.name, 2]
+    assert evidence.suspected_at is None
+    assert evidence.outstanding == 1
+    (order,) = balancer.take_orders()
+    assert isinstance(order.action, steering.Refuse)
+
+
+def test_new_flows_avoid_the_upstream_that_peers_keep_busy() -> None:
+    """Guard against balancers that all choose the same idle host."""
+    balancer = build.Balancer(FIRST, SECOND._replace(zone="riga-a"))
+    loads = (neighbours.UpstreamLoad(FIRST.token, 3, False),)
+    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 0.0)
+    placed = [balancer.open(port, now=0.0) for port in (40000, 40001)]
+    assert {upstream.name for upstream in placed} == {SECOND.name}
+
+
+def test_a_suspicion_of_another_zone_is_checked_before_it_counts() -> None:
+    """Guard against a zone that is cut off and makes the others shun its hosts."""
+    balancer = build.Balancer(FIRST)
+    balancer.steering.outlooks.clear()
+    loads = (neighbours.UpstreamLoad(FIRST.token, 0, True),)
+    report = build.build_report("front-9", zone="riga-c", loads=loads)
+    balancer.steering.hear_peer(report, 1.0)
+    assert balancer.find_events("upstream suspected") == []
+    assert balancer.steering.tick(1.02) == [FIRST]
+
+
+def test_upstreams_of_a_silent_zone_are_the_last_choice() -> None:
+    """Guard against openings sent into a zone that is cut off."""
+    balancer = build.Balancer(FIRST, SECOND)
+    report = build.build_report("front-9", zone="riga-b")
+    balancer.steering.hear_peer(report, 0.0)
+    balancer.tick(1.0)
+    assert balancer.steering.silent_zones == {"riga-b"}
+    placed = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
+    assert placed == {FIRST}
+
+
+def test_unserved_services_are_named() -> None:
+    """Guard against a balancer without paths that stays in the rotation."""
+    balancer = build.Balancer(FIRST, SHEETS)
+    assert balancer.steering.find_unserved() == []
+    balancer.open(now=0.0)
+    balancer.steering.outlooks[FIRST.name, 1].suspect(True, 0.1)
+    assert balancer.steering.find_unserved() == ["booking"]
+
+
+def test_outstanding_requests_return_to_zero() -> None:
+    """Guard against a count that drifts and keeps flows away from a host."""
+    balancer = build.Balancer(FIRST)
+    for port in range(40000, 40050):
+        balancer.open(port, now=0.0)
+        balancer.answer(FIRST, port, now=0.01)
+        caller = (build.CALLER[0], port)
+        request = build.build_data(FIRST.token, caller=caller, length=200)
+        balancer.send(request, 0.01)
+        end = build.build_data(
+            FIRST.token, caller=caller, sequence=1_201, acknowledged=900, closing=True
+        )
+        balancer.send(end, 0.04)
+    assert balancer.steering.outlooks[FIRST.name, 1].outstanding == 0
+    assert balancer.steering.flows == {}
+    assert balancer.steering.waiting == {}
+    assert balancer.steering.pending == {}
+
+
+def test_an_overloaded_service_refuses_what_can_not_finish_in_time() -> None:
+    """Guard against requests that wait in a queue past their deadline."""
+    balancer = build.Balancer(FIRST)
+    balancer.steering.latency_s["r-check"] = 0.03
+    loads = (neighbours.UpstreamLoad(FIRST.token, 200, False),)
+    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 0.0)
+    action = balancer.send(build.build_segment(), 0.0)
+    assert action == steering.Refuse("booking is overloaded")
