Leave openings of refusing upstreams to their callers

Cause: the machine of a crashed host resets openings, its callers try again from a new port at once, and the forwarder went on offering the old opening to one host after the other.

Ruled out: packets lost to the rotation; no machine had left it.

--- a/src/pistachioshed/core/steering.py
+++ b/src/pistachioshed/core/steering.py
@@ -16,8 +16,8 @@
 OPENING_EXPECTED_S: typing.Final = 0.06
 # A repeated opening and a health check have had a round trip each by then.
 OPENING_MOVED_S: typing.Final = 0.12
-# Callers give an opening up after 1.4 s.
-OPENING_GIVEN_UP_S: typing.Final = 1.0
+# Each move costs a connection at another host; callers send two copies themselves.
+MOVES_MAX: typing.Final = 2
 # A response is late by then: the users' longest job is 0.23 s, six times its mean.
 RESPONSE_OVERDUE_S: typing.Final = 0.25
 RESPONSE_OVERDUE_FACTOR: typing.Final = 6.0
@@ -111,7 +111,6 @@
 
     __slots__ = (
         "acknowledged",
-        "arrived_at",
         "asked_at",
         "counted",
         "key",
@@ -145,7 +144,6 @@
         self.segment = segment
         self.packet = packet
         self.sequence = segment.sequence
-        self.arrived_at = now
         self.placed_at = now
         self.seen_at = now
         self.asked_at = now
@@ -555,11 +553,16 @@
             if waited_s < OPENING_EXPECTED_S:
                 # Openings are pending in the order in which they were placed.
                 break
-            if now - flow.arrived_at > OPENING_GIVEN_UP_S:
+            if len(flow.tried) >= MOVES_MAX and flow.repeated:
                 del self.pending[key]
+                self._uncount(flow)
             elif not flow.repeated:
                 flow.repeated = True
-                self._note_silence(flow.upstream, flow.placed_at, "no handshake", now)
+                if not flow.tried:
+                    # The caller of a moved opening may have given up.
+                    self._note_silence(
+                        flow.upstream, flow.placed_at, "no handshake", now
+                    )
                 self._order(Forward(flow.upstream, mark=True), flow)
             elif waited_s >= OPENING_MOVED_S:
                 self._order(self._move_opening(key, flow, flow.segment, now), flow)
@@ -593,8 +596,8 @@
             if flow.upstream.name != name:
                 continue
             if not flow.opened:
-                if key in self.pending:
-                    self._order(self._move_opening(key, flow, flow.segment, now), flow)
+                # The machine has reset it: its caller is trying again with another one.
+                self._forget(key, flow)
             elif flow.route.kind != "unsafe":
                 self._give_up(key, flow, reason)
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -258,3 +258,31 @@
     balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 0.0)
     action = balancer.send(build.build_segment(), 0.0)
     assert action == steering.Refuse("booking is overloaded")
+
+
+def test_openings_for_a_refusing_upstream_are_not_offered_to_others() -> None:
+    """Guard against hosts blamed for callers that its machine has reset already.
+
+    Incident of `booth-lb`: two hosts crashed, and openings that their callers had given
+    up went from host to host, each of which seemed silent.
+    """
+    balancer = build.Balancer(FIRST, SECOND)
+    upstream = balancer.open(now=0.0)
+    assert balancer.tick(0.08) == [upstream]
+    balancer.take_orders()
+    balancer.steering.record_probe(upstream, "refused", "no listener", 0.085)
+    balancer.tick(1.0)
+    assert balancer.take_orders() == []
+    assert balancer.steering.outlooks[upstream.name, 1].suspected_at is not None
+    assert balancer.steering.outlooks[find_other(upstream).name, 1].strikes == 0
+
+
+def test_moved_openings_are_not_held_against_the_next_upstream() -> None:
+    """Guard against suspicion of every host for one caller that has gone."""
+    balancer = build.Balancer(FIRST, SECOND)
+    upstream = balancer.open(now=0.0)
+    balancer.tick(2.0)
+    moves = len(balancer.find_events("placed")) - 1
+    assert moves == steering.MOVES_MAX
+    assert balancer.steering.waiting == {}
+    assert balancer.steering.outlooks[find_other(upstream).name, 1].strikes == 0
