--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
 	$(PYTHON) tools/check_imports.py
+	$(PYTHON) tools/check_platform.py
 
 types: .venv/ready
 	$(PYTHON) -m mypy
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -84,7 +84,7 @@
             settings.capacity,
         )
         self.decisions = steering.Steering(
-            settings.zone, self.peers, self.record, os.getpid()
+            settings.zone, self.peers, self.record, self.observe, os.getpid()
         )
         self.plane = forwarding.PacketPlane(
             settings.packets,
@@ -115,12 +115,13 @@
         segment = fields.pop("segment", None)
         if segment is not None:
             fields = {"flow": format_flow(segment), **fields}
-        latency_s = fields.get("latency_s")
-        if latency_s is not None:
-            self.metrics.observe("response", latency_s, route=fields["route"])
         self.metrics.count("decisions", event=event)
         jsonlog.log_event(event, **fields)
 
+    def observe(self, route: str, latency_s: float) -> None:
+        """Add the latency of a response to its route's histogram."""
+        self.metrics.observe("response", latency_s, route=route)
+
     async def run(self) -> None:
         """Run until a graceful stop has ended."""
         loop = asyncio.get_running_loop()
--- a/src/pistachioshed/core/steering.py
+++ b/src/pistachioshed/core/steering.py
@@ -46,6 +46,9 @@
 Record = abc.Callable[..., None]
 """Takes the name of a decision or belief and its inputs as keywords."""
 
+Observe = abc.Callable[[str, float], None]
+"""Takes the name of a route and the latency of a response in seconds."""
+
 
 class Segment(typing.NamedTuple):
     """The header fields of a caller's packet that decide where it goes.
@@ -166,16 +169,24 @@
         Loads and suspicions of the other balancers.
     record : callable
         Takes decisions and changes of belief for the log.
+    observe : callable
+        Takes the latencies of responses for the metrics.
     seed : int
         Makes the random part of the choices repeatable.
     """
 
     def __init__(
-        self, zone: str, peers: neighbours.Neighbours, record: Record, seed: int
+        self,
+        zone: str,
+        peers: neighbours.Neighbours,
+        record: Record,
+        observe: Observe,
+        seed: int,
     ) -> None:
         self.zone = zone
         self.peers = peers
         self.record = record
+        self.observe = observe
         self.draw = random.Random(seed)
         self.directory = directory.Directory()
         self.configuration = routing.EMPTY_CONFIGURATION
@@ -528,6 +539,7 @@
 
     def _learn_latency(self, flow: Flow, evidence: outlook.Outlook, now: float) -> None:
         latency_s = now - flow.asked_at
+        self.observe(flow.route.name, latency_s)
         typical_s = self.latency_s.get(flow.route.name)
         if typical_s is None:
             self.latency_s[flow.route.name] = latency_s
--- a/tests/steeringbuilders.py
+++ b/tests/steeringbuilders.py
@@ -105,8 +105,11 @@
         configuration: routing.Configuration | None = None,
     ) -> None:
         self.log: list[tuple[str, dict[str, typing.Any]]] = []
+        self.latencies: list[float] = []
         self.peers = neighbours.Neighbours("front-1", "riga-a", ())
-        self.steering = steering.Steering("riga-a", self.peers, self.record, 1)
+        self.steering = steering.Steering(
+            "riga-a", self.peers, self.record, self.observe, 1
+        )
         self.steering.configure(configuration or build_configuration(), 0.0)
         self.revision = 0
         self.register(*upstreams, snapshot=True)
@@ -115,6 +118,10 @@
         """Keep a line of the log."""
         self.log.append((event, fields))
 
+    def observe(self, route: str, latency_s: float) -> None:
+        """Keep a latency."""
+        self.latencies.append(latency_s)
+
     def register(
         self, *upstreams: directory.Upstream, snapshot: bool = False, now: float = 0.0
     ) -> None:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -245,6 +245,7 @@
         )
         balancer.send(end, 0.04)
     assert balancer.steering.outlooks[FIRST.name, 1].outstanding == 0
+    assert balancer.latencies == pytest.approx([0.03] * 50)
     assert balancer.steering.flows == {}
     assert balancer.steering.waiting == {}
     assert balancer.steering.pending == {}
