Soak real forwarders under faults; try suspected hosts again; one watcher a zone

A host whose health check fails while it is well stayed suspected for ever once two openings were lost: it now gets a single flow after 3 s, then more seldom.

--- a/src/pistachioshed/adapters/feed.py
+++ b/src/pistachioshed/adapters/feed.py
@@ -11,6 +11,8 @@
 # Counted calls: 6 an hour and machine would do, but a call also shows that the store
 # is there. Below the platform's bound of 30 s.
 WAIT_S: typing.Final = 20.0
+# Changes of a release come in groups; one call brings a group.
+GATHER_S: typing.Final = 0.2
 RETRY_FIRST_S: typing.Final = 0.15
 RETRY_MAX_S: typing.Final = 0.8  # Beliefs are current within the bounds of 3 s.
 
@@ -21,6 +23,11 @@
     """Reads a prefix, then waits for its changes, and starts again when they are lost.
 
     `following` tells whether the last call was answered.
+
+    Parameters
+    ----------
+    may_wait : asyncio.Event
+        Set once this process should wait for changes and not only read once.
     """
 
     def __init__(
@@ -30,12 +37,14 @@
         client: store.PrefixReader,
         deliver: Deliver,
         count: abc.Callable[[str], None],
+        may_wait: asyncio.Event,
     ) -> None:
         self.name = name
         self.prefix = prefix
         self.client = client
         self.deliver = deliver
         self.count = count
+        self.may_wait = may_wait
         self.revision = 0
         self.following = False
         self.lost = False
@@ -70,12 +79,14 @@
         self.revision = answer.revision
 
     async def _wait(self) -> None:
+        await self.may_wait.wait()
         self.count("watch")
         batch = await self.client.wait_for_changes(self.prefix, self.revision, WAIT_S)
         self._note_found()
+        self.revision = max(self.revision, batch.revision)
         if batch.events:
             self.deliver(batch)
-        self.revision = max(self.revision, batch.revision)
+            await asyncio.sleep(GATHER_S)
 
     def _note_lost(self, error: Exception) -> None:
         self.following = False
--- a/src/pistachioshed/adapters/http1.py
+++ b/src/pistachioshed/adapters/http1.py
@@ -18,7 +18,9 @@
 USER_TIMEOUT_MS: typing.Final = 2_500
 CONNECT_TIMEOUT_S: typing.Final = 0.5  # Over a hundred round trips inside a region.
 SERVER_IDLE_S: typing.Final = 60.0
-CLIENTS_MAX: typing.Final = 64  # Connections served at once; peers use one each.
+# Connections served at once; the peers of a zone use one each. A third of the
+# descriptors of the users' smallest machine.
+CLIENTS_MAX: typing.Final = 512
 
 
 class Response(typing.NamedTuple):
@@ -197,6 +199,9 @@
         except (OSError, TimeoutError, h11.ProtocolError):
             # The client is gone or speaks no HTTP; there is nobody to tell.
             pass
+        except asyncio.CancelledError:
+            # The loop ends; asyncio's own callback fails on a cancelled task.
+            pass
         finally:
             clients.discard(writer)
             with contextlib.suppress(OSError):
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -32,7 +32,7 @@
 PEERS_PASSED_ON: typing.Final = 3  # Under 60 bytes of each report.
 ROLE_S: typing.Final = 0.1
 # A new balancer has heard of the others of its zone by then.
-ROLE_SETTLE_S: typing.Final = 1.5
+ROLE_SETTLE_S: typing.Final = 0.8
 # A report overtakes the change itself by less.
 BEHIND_S: typing.Final = 0.3
 PROBE_TIMEOUT_S: typing.Final = 0.4  # Below the interval of probes.
@@ -75,6 +75,7 @@
         self.watching: list[asyncio.Task[None]] = []
         self.behind_since: float | None = None
         self.news = asyncio.Event()
+        self.may_watch = asyncio.Event()
         self.stopped = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
         self.peers = neighbours.Neighbours(
@@ -189,6 +190,8 @@
             if now - self.started_at > ROLE_SETTLE_S:
                 watchers = self.peers.list_watchers(now)
                 should_watch = self.settings.name in watchers
+                if should_watch:
+                    self.may_watch.set()
                 if not should_watch and (follower is None or follower.done()):
                     follower = self.start_task(self.follow_peer())
                     jsonlog.log_event("follows peers", watchers=watchers)
@@ -206,6 +209,7 @@
             while True:
                 watcher = self.find_watcher()
                 if watcher is None:
+                    self.may_watch.set()
                     self.start_watching()
                     await asyncio.sleep(ROLE_S)
                     continue
@@ -217,6 +221,7 @@
                     await self.fetch(connection, watcher.name, beliefs.WAIT_S)
                 except beliefs.BeliefsError as error:
                     self.note_fetch_failure(watcher.name, error)
+                    self.may_watch.set()
                     self.start_watching()
                     await asyncio.sleep(ROLE_S)
                 else:
@@ -327,6 +332,7 @@
             client,
             deliver,
             lambda call: self.metrics.count("store_calls", call=call),
+            self.may_watch,
         )
         await follower.run()
 
@@ -411,7 +417,12 @@
             if self.presence.state != "starting":
                 # Packets that waited while this process did not run go first.
                 self.plane.receive()
-            self.tick(self.clock())
+            try:
+                self.tick(self.clock())
+            except Exception:
+                # Packets are forwarded without ticks; the next one goes ahead.
+                jsonlog.log_exception("tick failed")
+                self.metrics.count("task_failures")
 
     def tick(self, now: float) -> None:
         """Judge silence, start probes, report to the peers, end a stop."""
@@ -511,7 +522,11 @@
         content = self.path.read_bytes()
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
-            newest = self.path.read_bytes()
+            try:
+                newest = self.path.read_bytes()
+            except OSError as error:
+                jsonlog.log_failure("settings not read", cause=str(error))
+                continue
             if newest != content:
                 content = newest
                 self.reload()
--- a/src/pistachioshed/core/directory.py
+++ b/src/pistachioshed/core/directory.py
@@ -83,6 +83,7 @@
         self.lapsed_at: dict[str, float] = {}
         self.by_token: dict[int, Upstream] = {}
         self.by_service: dict[str, list[Upstream]] = {}
+        self.removed_by_token: dict[int, Upstream] = {}
         self.removed: collections.OrderedDict[str, Removed] = collections.OrderedDict()
 
     def apply(
@@ -145,20 +146,14 @@
             too_many = len(self.removed) > REMEMBER_REMOVED_MAX
             if not too_many and now - oldest.at < REMEMBER_REMOVED_S:
                 break
-            del self.removed[name]
+            self._forget(name)
         if updates:
             self._index()
         return updates
 
     def find_by_token(self, token: int) -> Upstream | None:
         """Return the upstream that a flow's token names, also if it has left."""
-        upstream = self.by_token.get(token)
-        if upstream is not None:
-            return upstream
-        for removed in self.removed.values():
-            if removed.upstream.token == token:
-                return removed.upstream
-        return None
+        return self.by_token.get(token) or self.removed_by_token.get(token)
 
     def list_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service, draining and lapsed ones included."""
@@ -203,7 +198,8 @@
         self.by_token[upstream.token] = upstream
         self.revisions[change.name] = change.revision
         self.lapsed_at.pop(change.name, None)
-        self.removed.pop(change.name, None)
+        if change.name in self.removed:
+            self._forget(change.name)
         return Update(change.name, outcome, change.revision)
 
     def _remove_predecessor(self, upstream: Upstream, now: float) -> None:
@@ -230,6 +226,10 @@
         self.added_at.pop(name, None)
         self.revisions.pop(name, None)
         self.removed[name] = Removed(upstream, now)
+        self.removed_by_token[upstream.token] = upstream
+
+    def _forget(self, name: str) -> None:
+        del self.removed_by_token[self.removed.pop(name).upstream.token]
 
     def _index(self) -> None:
         self.by_token = {}
--- a/src/pistachioshed/core/neighbours.py
+++ b/src/pistachioshed/core/neighbours.py
@@ -13,8 +13,10 @@
 EVERYONE_MAX: typing.Final = 12
 NEAR_MAX: typing.Final = 32
 FAR_PER_ZONE: typing.Final = 4
-# Balancers of a zone that follow the store; a second one covers the death of the first.
-WATCHERS: typing.Final = 2
+# Balancers of a zone that follow the store. One is enough where those of other zones
+# show that it is behind; a lone zone has a second one.
+WATCHERS: typing.Final = 1
+WATCHERS_ALONE: typing.Final = 2
 
 
 class UpstreamLoad(typing.NamedTuple):
@@ -151,13 +153,16 @@
 
     def list_watchers(self, now: float) -> list[str]:
         """Return the balancers of the zone that should follow the store, best first."""
+        live = [report for report in self.list_live(now) if not report.leaving]
         ranked = [(-self.capacity, self.name)]
         ranked += [
             (-report.capacity, report.name)
-            for report in self.list_live(now)
-            if report.zone == self.zone and not report.leaving
+            for report in live
+            if report.zone == self.zone
         ]
-        return [name for _, name in sorted(ranked)[:WATCHERS]]
+        alone = all(report.zone == self.zone for report in live)
+        most = WATCHERS_ALONE if alone else WATCHERS
+        return [name for _, name in sorted(ranked)[:most]]
 
     def find_newer(self, changed: int, version: int, now: float) -> Report | None:
         """Return a live peer's report that shows newer beliefs than these."""
--- a/src/pistachioshed/core/outlook.py
+++ b/src/pistachioshed/core/outlook.py
@@ -11,6 +11,10 @@
 # first is the shortest time in which the caller's first copy of an opening arrives.
 HOLD_FIRST_S: typing.Final = 0.2
 HOLD_MAX_S: typing.Final = 4.0
+# A health check may fail while its host is well, so a suspected upstream gets a single
+# flow from time to time, the first when the entry of a dead host has mostly gone.
+TRIAL_FIRST_S: typing.Final = 3.0
+TRIAL_MAX_S: typing.Final = 24.0
 # A suspicion this long after the previous one is a new matter.
 HOLD_RESET_S: typing.Final = 10.0
 # One silent opening may be a lost packet, or a flow that moved to another balancer.
@@ -27,7 +31,8 @@
     `strikes` counts the flows that fell silent since, `doubted_at` is when one
     last did. `own` tells whether the suspicion rests on own evidence and
     `silent_probes` how many of its probes in a row found no machine that answers;
-    `probing` is set while one is under way.
+    `probing` is set while one is under way. `tried_at` is when it got a single flow
+    while it was suspected, and `trial_s` the time until the next one.
     """
 
     __slots__ = (
@@ -42,6 +47,8 @@
         "slowness",
         "strikes",
         "suspected_at",
+        "trial_s",
+        "tried_at",
         "trusted_at",
     )
 
@@ -58,6 +65,8 @@
         self.strikes = 0
         self.doubted_at = -math.inf
         self.probing = False
+        self.tried_at = -math.inf
+        self.trial_s = TRIAL_FIRST_S
 
     def record_life(self, now: float) -> bool:
         """Note a sign of life; return whether that ended a suspicion."""
@@ -90,6 +99,7 @@
             return False
         if now - self.trusted_at > HOLD_RESET_S:
             self.hold_s = HOLD_FIRST_S
+            self.trial_s = TRIAL_FIRST_S
         self.suspected_at = now
         self.own = own
         return True
@@ -109,6 +119,18 @@
         self._trust(now)
         return True
 
+    def may_try(self, now: float) -> bool:
+        """Tell whether a suspected upstream should get a single flow."""
+        if self.suspected_at is None:
+            return False
+        return now - max(self.suspected_at, self.tried_at) >= self.trial_s
+
+    def record_trial(self, now: float) -> None:
+        """Note that a suspected upstream got a flow; the next one comes later."""
+        if self.may_try(now):
+            self.trial_s = min(2 * self.trial_s, TRIAL_MAX_S)
+        self.tried_at = now
+
     def record_latency(self, ratio: float) -> None:
         """Average the ratio of a response's latency to the typical one."""
         bounded = min(max(ratio, SPEED_MIN), SPEED_MAX)
--- a/src/pistachioshed/core/routing.py
+++ b/src/pistachioshed/core/routing.py
@@ -1,7 +1,6 @@
 """Routes of the configuration in force: which services may take a new flow."""
 
 import typing
-from collections import abc
 
 import xxhash
 
@@ -71,8 +70,3 @@
         if point < 0:
             return share.service
     return None
-
-
-def list_services(configuration: Configuration) -> abc.Iterable[str]:
-    """Return the names of all services that the configuration knows."""
-    return configuration.services.keys()
--- a/src/pistachioshed/core/steering.py
+++ b/src/pistachioshed/core/steering.py
@@ -408,6 +408,9 @@
         now: float,
     ) -> None:
         self._count(flow)
+        evidence = self._find_outlook(chosen.upstream)
+        if evidence.suspected_at is not None:
+            evidence.record_trial(now)
         self.pending.pop(key, None)
         self.pending[key] = flow
         self.record(
@@ -462,7 +465,7 @@
             self.directory.is_cold(upstream, now),
             selection.Tier(
                 tried.count(upstream.name),
-                evidence.suspected_at is not None,
+                evidence.suspected_at is not None and not evidence.may_try(now),
                 upstream.zone in self.silent_zones,
                 upstream.name in self.directory.lapsed_at,
             ),
@@ -739,7 +742,9 @@
             reason=reason,
             copy=segment.copy,
             configuration=self.configuration.version,
+            configuration_age_s=round(self.ticked_at - self.configured_at, 1),
             upstreams=self.directory.revision,
+            upstreams_age_s=round(self.ticked_at - self.directory_at, 1),
         )
 
     def _record_update(self, update: directory.Update) -> None:
--- /dev/null
+++ b/standins/loopbackproxy.py
@@ -0,0 +1,73 @@
+"""A TCP proxy on the loopback interface that harms the connections through it."""
+
+import asyncio
+import contextlib
+import typing
+
+Harm = typing.Literal["none", "delay", "silent", "silent back", "reset", "refuse"]
+
+READ_BYTES: typing.Final = 65_536
+DELAY_S: typing.Final = 0.3
+
+
+class LoopbackProxy:
+    """Passes bytes to an address; `harm` says what is done to them.
+
+    "silent" loses what passes in either direction, "silent back" only the responses;
+    "reset" ends open connections and new ones, "refuse" new ones.
+    """
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.target = target
+        self.harm: Harm = "none"
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self, ip: str) -> tuple[str, int]:
+        """Listen and return the address."""
+        self.server = await asyncio.start_server(self._serve, ip, 0)
+        address: tuple[str, int] = self.server.sockets[0].getsockname()
+        return address
+
+    def set_harm(self, harm: Harm) -> None:
+        """Change what is done; "reset" and "none" end the open connections."""
+        self.harm = harm
+        if harm in ("reset", "none"):
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.harm in ("reset", "refuse"):
+            writer.transport.abort()
+            return
+        onward_reader, onward = await asyncio.open_connection(*self.target)
+        self.writers |= {writer, onward}
+        try:
+            await asyncio.gather(
+                self._pass_on(reader, onward, "silent"),
+                self._pass_on(onward_reader, writer, "silent back"),
+            )
+        except OSError:
+            # One end is gone; the other is ended below.
+            pass
+        except asyncio.CancelledError:
+            # The loop ends; asyncio's own callback fails on a cancelled task.
+            pass
+        finally:
+            for each in (writer, onward):
+                self.writers.discard(each)
+                with contextlib.suppress(OSError):
+                    each.transport.abort()
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, lost: str
+    ) -> None:
+        while data := await reader.read(READ_BYTES):
+            if self.harm == "delay":
+                await asyncio.sleep(DELAY_S)
+            if self.harm not in ("silent", lost):
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- /dev/null
+++ b/standins/packetflows.py
@@ -0,0 +1,302 @@
+"""Stand-ins that speak the users' packets: hosts, callers, and the routers between."""
+
+import asyncio
+import collections
+import random
+import socket
+import typing
+import zlib
+from collections import abc
+
+from pistachioshed.adapters import http1
+from pistachioshed.platform import packets
+
+OPENING_COPIES_S: typing.Final = (0.0, 0.2, 0.6)
+OPENING_TIMEOUT_S: typing.Final = 1.4
+REPEATS_S: typing.Final = (0.2, 0.4, 0.8, 1.6)
+CHECK_INTERVAL_S: typing.Final = 0.5
+MISSES_MAX: typing.Final = 2
+CHECK_TIMEOUT_S: typing.Final = 0.4
+CHECK_SILENCE_S: typing.Final = 5.0
+
+FlowKey = tuple[int, int, int, int]
+Outcome = typing.Literal["served", "reset", "unopened", "unanswered"]
+
+
+class Packet(typing.NamedTuple):
+    """A packet in both directions; `source` and `target` are address and port."""
+
+    source: tuple[int, int]
+    target: tuple[int, int]
+    sequence: int
+    acknowledged: int
+    token: int
+    flags: int
+    data: bytes = b""
+
+
+def encode(packet: Packet) -> bytes:
+    """Return the bytes of a packet."""
+    head = packets.HEADER.pack(
+        packet.sequence,
+        packet.acknowledged,
+        packet.token,
+        len(packet.data),
+        packet.source[1],
+        packet.target[1],
+        packet.target[0],
+        packet.source[0],
+        packet.flags,
+        0 if packet.flags & packets.FLAG_RESET and not packet.data else 1,
+    )
+    return head + packet.data
+
+
+def decode(data: bytes) -> Packet:
+    """Read a packet."""
+    fields = packets.HEADER.unpack_from(data)
+    sequence, acknowledged, token, _, sport, dport, dst, src, flags, _ = fields
+    return Packet(
+        (src, sport),
+        (dst, dport),
+        sequence,
+        acknowledged,
+        token,
+        flags,
+        data[packets.HEADER.size :],
+    )
+
+
+class Arrival(typing.NamedTuple):
+    """An opening that a host took, through which forwarder, and when."""
+
+    host: str
+    service: str
+    forwarder: str
+    target: tuple[int, int]
+    at: float
+
+
+class Host(asyncio.DatagramProtocol):
+    """A host of one service; it runs each flow's request once and answers it.
+
+    `runs` is shared by all hosts and counts how often each request ran.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        packet_port: int,
+        runs: collections.Counter[bytes],
+        arrivals: list[Arrival],
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.number = int(name.rpartition("-")[2], 16)
+        self.packet_port = packet_port
+        self.runs = runs
+        self.arrivals = arrivals
+        self.flows: dict[FlowKey, bytes] = {}
+        self.silent = False
+        self.work_s = 0.01
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = typing.cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, source: tuple[str, int]) -> None:
+        """Answer a packet as a host does."""
+        number = int.from_bytes(data[:8], "big")
+        if self.silent or number not in (0, self.number):
+            return
+        packet = decode(data[8:])
+        key = (*packet.source, *packet.target)
+        if packet.flags & packets.FLAG_OPENING:
+            if key not in self.flows:
+                self.flows[key] = b""
+                now = asyncio.get_running_loop().time()
+                arrival = Arrival(
+                    self.name, self.service, source[0], packet.target, now
+                )
+                self.arrivals.append(arrival)
+            self._send(packet, packets.FLAG_OPENING | packets.FLAG_ACKNOWLEDGING, b"")
+        elif key not in self.flows:
+            self._send(packet, packets.FLAG_RESET, b"gone")
+        elif packet.data:
+            if not self.flows[key]:
+                self.runs[packet.data] += 1
+                self.flows[key] = packet.data + b"@" + self.service.encode()
+            asyncio.get_running_loop().call_later(self.work_s, self._answer, packet)
+
+    async def answer_check(self, request: http1.Request) -> http1.Response:
+        """Answer a health check."""
+        if self.silent:
+            await asyncio.sleep(CHECK_SILENCE_S)
+        return http1.Response(200, {"Instance-Id": self.name}, b"")
+
+    def _answer(self, request: Packet) -> None:
+        key = (*request.source, *request.target)
+        if key in self.flows and not self.silent:
+            self._send(request, packets.FLAG_ACKNOWLEDGING, self.flows[key])
+
+    def _send(self, cause: Packet, flags: int, data: bytes) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        answer = Packet(
+            cause.target,
+            cause.source,
+            500 if flags & packets.FLAG_OPENING else 501,
+            (cause.sequence + max(1, len(cause.data))) % 2**32,
+            cause.token,
+            flags,
+            data,
+        )
+        address = (packets.format_ip(cause.source[0]), self.packet_port)
+        self.transport.sendto(encode(answer), address)
+
+
+class Routers:
+    """Chooses a forwarder in rotation for each flow, by a hash of its ends."""
+
+    def __init__(self, ready: abc.Mapping[str, tuple[str, int]], port: int) -> None:
+        self.ready = ready
+        self.port = port
+        self.misses: dict[str, int] = dict.fromkeys(ready, 0)
+
+    async def keep_checking(self) -> None:
+        """Ask every forwarder twice a second whether it is ready."""
+        while True:
+            checks = [self._check(ip, address) for ip, address in self.ready.items()]
+            await asyncio.gather(*checks, asyncio.sleep(CHECK_INTERVAL_S))
+
+    def choose(self, packet: Packet) -> tuple[str, int]:
+        """Return the address to send a caller's packet to."""
+        rotation = [ip for ip in self.ready if self.misses[ip] < MISSES_MAX]
+        if 2 * len(rotation) < len(self.ready):
+            rotation = list(self.ready)
+        ends = repr((packet.source, packet.target)).encode()
+        best = max(rotation, key=lambda ip: zlib.crc32(ends + ip.encode()))
+        return best, self.port
+
+    async def _check(self, ip: str, address: tuple[str, int]) -> None:
+        connection = http1.Connection(address)
+        try:
+            response = await connection.request("GET", "/api/ready", CHECK_TIMEOUT_S)
+            passed = response.status == 200
+        except http1.HttpError:
+            passed = False
+        finally:
+            connection.close()
+        self.misses[ip] = 0 if passed else self.misses[ip] + 1
+
+
+class Caller(asyncio.DatagramProtocol):
+    """One caller's machine: opens a flow a request, all on one socket."""
+
+    def __init__(self, ip: str, routers: Routers, draw: random.Random) -> None:
+        self.ip = packets.parse_ip(ip)
+        self.routers = routers
+        self.draw = draw
+        self.port = draw.randrange(2_000, 30_000)
+        self.inboxes: dict[int, asyncio.Queue[Packet]] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = typing.cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, source: tuple[str, int]) -> None:
+        """Pass a packet to the flow that it belongs to."""
+        packet = decode(data)
+        inbox = self.inboxes.get(packet.target[1])
+        if inbox is not None:
+            inbox.put_nowait(packet)
+
+    async def request(
+        self, target: tuple[int, int], body: bytes, hold_s: float = 0.0
+    ) -> tuple[Outcome, bytes]:
+        """Send one request on a flow of its own; wait `hold_s` before its body.
+
+        Returns
+        -------
+        tuple of str and bytes
+            What became of it and the response's body.
+        """
+        self.port += 1
+        inbox: asyncio.Queue[Packet] = asyncio.Queue()
+        self.inboxes[self.port] = inbox
+        opening = Packet((self.ip, self.port), target, 1_000, 0, 0, 0)
+        try:
+            accepted = await self._open(opening, inbox)
+            if accepted is None:
+                return "unopened", b""
+            if accepted.flags & packets.FLAG_RESET:
+                return "reset", b"unopened"
+            reply = opening._replace(
+                sequence=1_001,
+                acknowledged=accepted.sequence + 1,
+                token=accepted.token,
+                flags=packets.FLAG_ACKNOWLEDGING,
+            )
+            self._send(reply)
+            await asyncio.sleep(hold_s)
+            return await self._ask(reply._replace(data=body), inbox)
+        finally:
+            del self.inboxes[opening.source[1]]
+
+    async def _open(
+        self, opening: Packet, inbox: asyncio.Queue[Packet]
+    ) -> Packet | None:
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        times = (*OPENING_COPIES_S[1:], OPENING_TIMEOUT_S)
+        for copy, until_s in enumerate(times):
+            self._send(opening._replace(acknowledged=copy, flags=packets.FLAG_OPENING))
+            try:
+                async with asyncio.timeout_at(start + until_s):
+                    return await inbox.get()
+            except TimeoutError:
+                continue
+        return None
+
+    async def _ask(
+        self, request: Packet, inbox: asyncio.Queue[Packet]
+    ) -> tuple[Outcome, bytes]:
+        for wait_s in REPEATS_S:
+            self._send(request)
+            try:
+                async with asyncio.timeout(wait_s):
+                    while True:
+                        packet = await inbox.get()
+                        if packet.flags & packets.FLAG_RESET:
+                            return "reset", packet.data
+                        if packet.data:
+                            end = request._replace(
+                                sequence=request.sequence + len(request.data),
+                                acknowledged=packet.sequence + len(packet.data),
+                                flags=packets.FLAG_CLOSING,
+                                data=b"",
+                            )
+                            self._send(end)
+                            return "served", packet.data
+            except TimeoutError:
+                continue
+        return "unanswered", b""
+
+    def _send(self, packet: Packet) -> None:
+        if self.transport is not None:
+            self.transport.sendto(encode(packet), self.routers.choose(packet))
+
+
+async def open_socket(
+    protocol: asyncio.DatagramProtocol, address: tuple[str, int]
+) -> asyncio.DatagramTransport:
+    """Open a UDP socket for a stand-in."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    transport, _ = await loop.create_datagram_endpoint(lambda: protocol, sock=sock)
+    return transport
--- a/tests/forwarderfleet.py
+++ b/tests/forwarderfleet.py
@@ -28,18 +28,26 @@
         return int(probe.getsockname()[1])
 
 
-def encode_configuration(version: int, services: tuple[str, ...]) -> bytes:
-    """Return a configuration whose only route leads to the first service."""
-    route = {
-        "name": "r-1",
-        "host": TARGET[0],
-        "prefix": f"/{TARGET[1]}/",
+def build_route_fields(
+    name: str, service: str, target: tuple[int, int]
+) -> dict[str, object]:
+    """Return a route as it stands in the store."""
+    return {
+        "name": name,
+        "host": packets.format_ip(target[0]),
+        "prefix": f"/{target[1]}/",
         "kind": "safe",
         "timeout-ms": 1500,
         "target-latency-ms": 150,
         "priority": 2,
-        "service": services[0],
+        "service": service,
     }
+
+
+def encode_routes(
+    version: int, routes: abc.Sequence[dict[str, object]], services: tuple[str, ...]
+) -> bytes:
+    """Return a configuration as it stands in the store."""
     entries = [
         {"name": name, "health-path": "/health", "connection-limit": 2000}
         for name in services
@@ -47,13 +55,20 @@
     return msgspec.json.encode(
         {
             "version": version,
-            "routes": [route],
+            "routes": routes,
             "services": entries,
             "limits": {"idle-timeout-ms": 15000},
         }
     )
 
 
+def encode_configuration(version: int, services: tuple[str, ...]) -> bytes:
+    """Return a configuration whose only route leads to the first service."""
+    target = (packets.parse_ip(TARGET[0]), TARGET[1])
+    route = build_route_fields("r-1", services[0], target)
+    return encode_routes(version, [route], services)
+
+
 def encode_entry(address: tuple[str, int], **changes: typing.Any) -> bytes:
     """Return the entry of a host of booking."""
     entry = {
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -61,12 +61,19 @@
     ):
         report = build.build_report(name, capacity=capacity, leaving=leaving)
         peers.record(report, 0.0)
-    other = build.build_report("front-9", zone="riga-b", capacity=500.0)
-    peers.record(other, 0.0)
     assert peers.list_watchers(0.1) == ["front-2", "front-1"]
     assert peers.list_watchers(5.0) == ["front-1"]
 
 
+def test_a_zone_with_others_beside_it_has_one_watcher() -> None:
+    """Guard against store calls that grow with the zones twice over."""
+    peers = build_neighbours(capacity=10.0)
+    peers.record(build.build_report("front-2", capacity=200.0), 0.0)
+    other = build.build_report("front-9", zone="riga-b", capacity=500.0)
+    peers.record(other, 0.0)
+    assert peers.list_watchers(0.1) == ["front-2"]
+
+
 def test_reports_of_a_large_fleet_have_a_bounded_number_of_recipients() -> None:
     """Guard against control traffic that grows with the square of the fleet."""
     peers = build_neighbours()
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pistachioshed.core import directory, neighbours, routing, steering
+from pistachioshed.core import directory, neighbours, outlook, routing, steering
 from tests import steeringbuilders as build
 
 FIRST = build.build_upstream(1)
@@ -287,3 +287,20 @@
     assert moves == steering.MOVES_MAX
     assert balancer.steering.waiting == {}
     assert balancer.steering.outlooks[find_other(upstream).name, 1].strikes == 0
+
+
+def test_a_host_with_a_false_health_check_is_tried_again() -> None:
+    """Guard against a healthy host that is lost because its health check fails."""
+    balancer = build.Balancer(FIRST, SECOND)
+    evidence = balancer.steering.outlooks[FIRST.name, 1] = outlook.Outlook()
+    evidence.suspect(True, 0.0)
+    balancer.tick(1.0)
+    evidence.probing = False
+    balancer.steering.record_probe(FIRST, "refused", "no listener", 1.0)
+    before = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
+    assert before == {SECOND}
+    later = outlook.TRIAL_FIRST_S + 0.1
+    tried = [balancer.open(port, now=later) for port in range(41000, 41010)]
+    assert tried.count(FIRST) == 1
+    balancer.answer(FIRST, 41000 + tried.index(FIRST), now=later + 0.01)
+    assert evidence.suspected_at is None
