--- a/src/pistachioshed/core/directory.py
+++ b/src/pistachioshed/core/directory.py
@@ -229,7 +229,9 @@
         self.removed_by_token[upstream.token] = upstream
 
     def _forget(self, name: str) -> None:
-        del self.removed_by_token[self.removed.pop(name).upstream.token]
+        upstream = self.removed.pop(name).upstream
+        if self.removed_by_token.get(upstream.token) == upstream:
+            del self.removed_by_token[upstream.token]
 
     def _index(self) -> None:
         self.by_token = {}
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -139,3 +139,18 @@
     register(known, cold, revision=1, now=10.0)
     assert known.is_cold(cold, 11.9)
     assert not known.is_cold(cold, 12.0)
+
+
+def test_a_token_used_again_belongs_to_its_last_holder() -> None:
+    """Guard against an index that loses the later of two holders, or fails."""
+    known = directory.Directory()
+    first = FIRST._replace(draining=True)
+    second = SECOND._replace(token=FIRST.token, draining=True)
+    register(known, first, revision=1)
+    remove(known, first.name, 2, now=1.0)
+    register(known, second, revision=3, now=2.0)
+    remove(known, second.name, 4, now=30.0)
+    known.expire(1.0 + directory.REMEMBER_REMOVED_S)
+    assert known.find_by_token(FIRST.token) == second
+    known.expire(31.0 + directory.REMEMBER_REMOVED_S)
+    assert known.find_by_token(FIRST.token) is None
