--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: demo test format lint types bench slopes lab clean
+.PHONY: demo test format lint types bench slopes soak lab clean
 
 .venv/ready: requirements.lock
 	test -x $(PYTHON) || python3.11 -m venv .venv
@@ -34,5 +34,8 @@
 slopes: .venv/ready
 	$(PYTHON) tools/slopes.py
 
+soak: .venv/ready
+	$(PYTHON) -m tools.soak --fresh --count 6
+
 clean:
-	rm -rf .venv .mypy_cache .ruff_cache .pytest_cache
+	rm -rf .venv target .mypy_cache .ruff_cache .pytest_cache
--- a/src/pistachioshed/adapters/ini.py
+++ b/src/pistachioshed/adapters/ini.py
@@ -110,6 +110,14 @@
     return build(**values)
 
 
+def describe_options(options: abc.Iterable[Option]) -> abc.Iterator[str]:
+    """Yield one line of help per key."""
+    for option in options:
+        default = "required" if option.default is None else f"default {option.default}"
+        line = f"[{option.section}] {option.key}: {option.allowed} ({default})"
+        yield f"{line}; {option.help}" if option.help else line
+
+
 def _make_error(path: pathlib.Path, option: Option, problem: str) -> SettingError:
     allowed = problem
     if "required" not in problem:
--- a/src/pistachioshed/apps/balanceroptions.py
+++ b/src/pistachioshed/apps/balanceroptions.py
@@ -232,8 +232,4 @@
     """Yield one line of help per key."""
     yield "[services] NAME: the service's listener, ip:port"
     yield "[seeds] NAME: another balancer's peer address, used until a VM list arrives"
-    for option in OPTIONS:
-        default = "" if option.default is None else f" (default {option.default})"
-        yield (
-            f"[{option.section}] {option.key}: {option.help}; {option.allowed}{default}"
-        )
+    yield from ini.describe_options(OPTIONS)
--- a/src/pistachioshed/apps/controloptions.py
+++ b/src/pistachioshed/apps/controloptions.py
@@ -146,9 +146,5 @@
 
 def list_options() -> list[str]:
     """Return one line per setting."""
-    lines = []
-    for option in OPTIONS:
-        default = "required" if option.default is None else f"default {option.default}"
-        line = f"[{option.section}] {option.key}: {option.allowed} ({default})"
-        lines.append(f"{line}; {option.help}" if option.help else line)
+    lines = ini.describe_options(OPTIONS)
     return [*lines, "[seeds] NAME: a zone and a bus ip:port (optional)"]
--- a/src/pistachioshed/apps/forwarderoptions.py
+++ b/src/pistachioshed/apps/forwarderoptions.py
@@ -30,11 +30,6 @@
     capacity: float
 
 
-def parse_ip_port(text: str) -> Address:
-    """Parse "ip:port"."""
-    return tables.parse_address(text)
-
-
 def parse_hosts(text: str) -> tuple[str, ...]:
     """Parse the IP numbers of a list "ip:port,ip:port"; it may be empty."""
     entries = [entry.strip() for entry in text.split(",")]
@@ -42,20 +37,89 @@
 
 
 OPTIONS: typing.Final = (
-    ini.Option("balancer", "name", "name", ini.parse_name, "a name"),
-    ini.Option("balancer", "zone", "zone", ini.parse_name, "an availability zone"),
     ini.Option(
-        "balancer", "stop_s", "stop_s", ini.parse_positive, "seconds above 0", "6"
+        "balancer",
+        "name",
+        "name",
+        ini.parse_name,
+        "1 to 63 characters",
+        help="name of this VM",
+    ),
+    ini.Option(
+        "balancer",
+        "zone",
+        "zone",
+        ini.parse_name,
+        "1 to 63 characters",
+        help="availability zone",
+    ),
+    ini.Option(
+        "balancer",
+        "stop_s",
+        "stop_s",
+        ini.parse_positive,
+        "seconds, above 0",
+        "6",
+        "longest time from a request to stop until the process ends",
+    ),
+    ini.Option(
+        "balancer",
+        "capacity",
+        "capacity",
+        ini.parse_positive,
+        "Mbit/s, above 0",
+        "1000",
+        "link of this VM; the largest of a zone follow the store",
+    ),
+    ini.Option(
+        "listen",
+        "packets",
+        "packets",
+        tables.parse_address,
+        "ip:port",
+        help="where callers' packets arrive, over UDP",
+    ),
+    ini.Option(
+        "listen",
+        "ready",
+        "ready",
+        tables.parse_address,
+        "ip:port",
+        help="where the fabric asks whether this forwarder takes flows, over HTTP",
+    ),
+    ini.Option(
+        "listen",
+        "peers",
+        "peers",
+        tables.parse_address,
+        "ip:port",
+        help="where the other forwarders reach this one, over UDP and HTTP",
+    ),
+    ini.Option(
+        "listen",
+        "metrics",
+        "metrics",
+        tables.parse_address,
+        "ip:port",
+        help="where /metrics is served over HTTP",
+    ),
+    ini.Option(
+        "store",
+        "address",
+        "store",
+        tables.parse_address,
+        "ip:port",
+        help="the platform's metadata store",
     ),
     ini.Option(
-        "balancer", "capacity", "capacity", ini.parse_positive, "Mbit/s above 0", "1000"
+        "peers",
+        "seeds",
+        "seeds",
+        parse_hosts,
+        "ip:port,ip:port; may be empty",
+        "",
+        "a few forwarders; only their IP numbers are used",
     ),
-    ini.Option("listen", "packets", "packets", parse_ip_port, "ip:port"),
-    ini.Option("listen", "ready", "ready", parse_ip_port, "ip:port"),
-    ini.Option("listen", "peers", "peers", parse_ip_port, "ip:port"),
-    ini.Option("listen", "metrics", "metrics", parse_ip_port, "ip:port"),
-    ini.Option("store", "address", "store", parse_ip_port, "ip:port"),
-    ini.Option("peers", "seeds", "seeds", parse_hosts, "ip:port,ip:port", ""),
 )
 
 
@@ -71,7 +135,5 @@
 
 
 def list_options() -> abc.Iterator[str]:
-    """Yield a line for each setting."""
-    for option in OPTIONS:
-        default = "required" if option.default is None else f"default {option.default}"
-        yield f"[{option.section}] {option.key}: {option.allowed} ({default})"
+    """Yield one line of help per key."""
+    yield from ini.describe_options(OPTIONS)
--- /dev/null
+++ b/tests/test_forwarderoptions.py
@@ -0,0 +1,74 @@
+"""Settings and command line of the forwarder."""
+
+import pathlib
+
+import pytest
+
+from pistachioshed.apps import forwarder, forwarderoptions
+
+SETTINGS = """\
+[balancer]
+name = front-1
+zone = riga-a
+[listen]
+packets = 10.1.0.10:8172
+ready = 10.1.0.10:8167
+peers = 10.1.0.10:7720
+metrics = 10.1.0.10:9464
+[store]
+address = 10.200.1.7:8169
+[peers]
+seeds = 10.1.0.10:8166,10.2.0.40:8166
+"""
+
+
+def write(folder: pathlib.Path, text: str) -> pathlib.Path:
+    """Write a settings file."""
+    path = folder / "forwarder.ini"
+    path.write_text(text)
+    return path
+
+
+def test_settings_are_read_with_defaults(tmp_path: pathlib.Path) -> None:
+    """Guard against a template that the program does not understand."""
+    settings = forwarderoptions.read_forwarder_settings(write(tmp_path, SETTINGS))
+    assert settings.packets == ("10.1.0.10", 8172)
+    assert settings.seeds == ("10.1.0.10", "10.2.0.40")
+    assert settings.stop_s == 6.0
+
+
+def test_the_template_has_a_line_for_each_setting() -> None:
+    """Guard against settings that the platform never fills in."""
+    template = (pathlib.Path(__file__).parents[1] / "deploy/forwarder.ini").read_text()
+    for option in forwarderoptions.OPTIONS:
+        assert f"\n{option.key} = {{{{" in template
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "fault"),
+    [
+        ("name = front-1", "", "[balancer] name: required"),
+        ("packets = 10.1.0.10:8172", "packets = here", "[listen] packets: 'here'"),
+        ("[peers]", "[other]", "[other] *: unknown section"),
+        ("seeds = 10", "seeds = x", "[peers] seeds: 'x.1.0.10:8166"),
+    ],
+)
+def test_every_fault_of_the_file_is_shown(
+    old: str,
+    new: str,
+    fault: str,
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guard against a process that starts with settings that it does not have."""
+    path = write(tmp_path, SETTINGS.replace(old, new))
+    assert forwarder.main([str(path)]) == 2
+    assert fault in capsys.readouterr().err
+
+
+def test_settings_are_listed(capsys: pytest.CaptureFixture[str]) -> None:
+    """Guard against a command line without help."""
+    assert forwarder.main(["--list-settings"]) == 0
+    listed = capsys.readouterr().out
+    assert "[store] address: ip:port (required)" in listed
+    assert forwarder.main([]) == 2
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -6,7 +6,12 @@
 from collections import abc
 
 from pistachioshed.adapters import ini
-from pistachioshed.apps import balanceroptions, console, controloptions
+from pistachioshed.apps import (
+    balanceroptions,
+    console,
+    controloptions,
+    forwarderoptions,
+)
 
 PAGE: typing.Final = pathlib.Path(__file__).parents[1] / "docs" / "settings.md"
 HEAD: typing.Final = """# Settings
@@ -39,6 +44,7 @@
         controloptions.OPTIONS,
         (("seeds", "NAME", "a zone and a bus ip:port, until a VM list arrives"),),
     ),
+    Program("pistachioshed-forwarder", forwarderoptions.OPTIONS),
     Program("pistachioshed (operators' command)", console.OPTIONS),
 )
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import typing
 from collections import abc
 
@@ -42,7 +43,7 @@
     "sheets": (packets.parse_ip("198.18.0.2"), 443),
 }
 
-Draw = random.Random
+FRESH_SEEDS: typing.Final = 1_000_000_000
 
 
 class Change(typing.NamedTuple):
@@ -56,7 +57,7 @@
     """One run: the stand-ins, the processes, and what was seen."""
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
-        self.draw = Draw(seed)
+        self.draw = random.Random(seed)
         self.folder = folder
         # Runs at the same time use addresses of their own.
         self.net = f"127.{20 + seed % 200}"
@@ -453,11 +454,17 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--first", type=int, default=1, help="the first seed")
     parser.add_argument("--count", type=int, default=1, help="how many seeds")
+    parser.add_argument(
+        "--fresh", action="store_true", help="draw the first seed from the clock"
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="where logs are kept")
     options = parser.parse_args(arguments)
     root = options.logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     kept = True
-    for seed in range(options.first, options.first + options.count):
+    first = (
+        time.time_ns() // 1_000_000 % FRESH_SEEDS if options.fresh else options.first
+    )
+    for seed in range(first, first + options.count):
         folder = root / f"seed-{seed}"
         os.makedirs(folder, exist_ok=True)
         kept = report(seed, asyncio.run(play(seed, folder)), folder) and kept
