--- a/src/pistachioshed/adapters/forwarding.py
+++ b/src/pistachioshed/adapters/forwarding.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from pistachioshed.core import steering
+from pistachioshed.core import segments, steering
 
 # A burst of the users' grown tables on one machine, 400 packets of 1.3 kB.
 RECEIVE_BUFFER_BYTES: typing.Final = 1_048_576
@@ -17,9 +17,9 @@
 class Codec(typing.NamedTuple):
     """Functions that translate packets; `decode` raises `ValueError`."""
 
-    decode: abc.Callable[[bytes], steering.Segment]
-    encode_forward: abc.Callable[[bytes, steering.Forward], bytes]
-    encode_reset: abc.Callable[[steering.Segment], bytes]
+    decode: abc.Callable[[bytes], segments.Segment]
+    encode_forward: abc.Callable[[bytes, segments.Forward], bytes]
+    encode_reset: abc.Callable[[segments.Segment], bytes]
     format_ip: abc.Callable[[int], str]
 
 
@@ -69,10 +69,10 @@
             self.count("packets", outcome="malformed")
             return
         action = self.decisions.handle(segment, data, now)
-        if isinstance(action, steering.Drop):
+        if isinstance(action, segments.Drop):
             self.count("packets", outcome="dropped")
             return
-        self.carry_out(steering.Order(action, segment, data))
+        self.carry_out(segments.Order(action, segment, data))
 
     def carry_out_orders(self) -> None:
         """Send what was decided without a packet that asked for it."""
@@ -80,10 +80,10 @@
         for order in orders:
             self.carry_out(order)
 
-    def carry_out(self, order: steering.Order) -> None:
+    def carry_out(self, order: segments.Order) -> None:
         """Send a packet on to its upstream, or a reset to its caller."""
         action = order.action
-        if isinstance(action, steering.Forward):
+        if isinstance(action, segments.Forward):
             outcome = "placed" if action.mark else "carried"
             self.count("packets", outcome=outcome)
             data = self.codec.encode_forward(order.packet, action)
--- /dev/null
+++ b/src/pistachioshed/apps/following.py
@@ -0,0 +1,280 @@
+"""Where a forwarder gets its beliefs from: the store, or a peer that follows it."""
+
+import asyncio
+import typing
+from collections import abc
+
+from pistachioshed.adapters import beliefs, feed, http1, jsonlog
+from pistachioshed.core import directory, neighbours, steering
+from pistachioshed.platform import records, storeclient
+from pistachioshed.ports import store
+
+ROLE_S: typing.Final = 0.1
+# A new balancer has heard of the others of its zone by then.
+ROLE_SETTLE_S: typing.Final = 0.8
+# A report overtakes the change itself by less.
+BEHIND_S: typing.Final = 0.3
+
+Address = tuple[str, int]
+StartTask = abc.Callable[
+    [abc.Coroutine[typing.Any, typing.Any, None]], "asyncio.Task[None]"
+]
+
+
+class Following:
+    """Owns the connections to the store and to the watcher of the zone.
+
+    Parameters
+    ----------
+    name : str
+        This forwarder.
+    store_address : tuple of str and int
+        The platform's store.
+    decisions : Steering
+        Takes configuration and upstreams.
+    start_task : callable
+        Runs a coroutine as a task of the process.
+    note_change : callable
+        Called after beliefs were taken.
+    count : callable
+        Counts by name and labels.
+    clock : callable
+        The steady clock.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store_address: Address,
+        decisions: steering.Steering,
+        start_task: StartTask,
+        note_change: abc.Callable[[], None],
+        count: abc.Callable[..., None],
+        clock: abc.Callable[[], float],
+    ) -> None:
+        self.name = name
+        self.store_address = store_address
+        self.decisions = decisions
+        self.peers = decisions.peers
+        self.start_task = start_task
+        self.note_change = note_change
+        self.count = count
+        self.clock = clock
+        self.started_at = clock()
+        self.watching: list[asyncio.Task[None]] = []
+        self.behind_since: float | None = None
+        self.news = asyncio.Event()
+        self.may_watch = asyncio.Event()
+
+    def take_change(self) -> None:
+        """Pass news on to the peers that wait for them, and tell the process."""
+        self.news.set()
+        self.note_change()
+
+    def start_watching(self) -> None:
+        """Follow the store."""
+        if not self.watching:
+            self.watching = [
+                self.start_task(
+                    self.follow("configuration", records.CONFIGURATION_KEY)
+                ),
+                self.start_task(self.follow("upstreams", records.UPSTREAMS_PREFIX)),
+            ]
+
+    def stop_watching(self) -> None:
+        """Leave the store to the watchers of the zone."""
+        for task in self.watching:
+            task.cancel()
+        self.watching = []
+
+    async def keep_role(self) -> None:
+        """Follow the store or a peer that does; catch up with peers that know more."""
+        follower: asyncio.Task[None] | None = None
+        while True:
+            await asyncio.sleep(ROLE_S)
+            now = self.clock()
+            if now - self.started_at > ROLE_SETTLE_S:
+                watchers = self.peers.list_watchers(now)
+                should_watch = self.name in watchers
+                if should_watch:
+                    self.may_watch.set()
+                if not should_watch and (follower is None or follower.done()):
+                    follower = self.start_task(self.follow_peer())
+                    jsonlog.log_event("follows peers", watchers=watchers)
+                elif should_watch and follower is not None:
+                    follower.cancel()
+                    follower = None
+                    self.start_watching()
+                    jsonlog.log_event("follows the store", watchers=watchers)
+            await self.catch_up(now)
+
+    async def follow_peer(self) -> None:
+        """Take changes from a watcher of the zone; return when there is none."""
+        connection: http1.Connection | None = None
+        try:
+            while True:
+                watcher = self.find_watcher()
+                if watcher is None:
+                    self.may_watch.set()
+                    self.start_watching()
+                    await asyncio.sleep(ROLE_S)
+                    continue
+                if connection is None or connection.address != watcher.address:
+                    if connection is not None:
+                        connection.close()
+                    connection = http1.Connection(watcher.address)
+                try:
+                    await self.fetch(connection, watcher.name, beliefs.WAIT_S)
+                except beliefs.BeliefsError as error:
+                    self.note_fetch_failure(watcher.name, error)
+                    self.may_watch.set()
+                    self.start_watching()
+                    await asyncio.sleep(ROLE_S)
+                else:
+                    self.stop_watching()
+        finally:
+            if connection is not None:
+                connection.close()
+
+    def find_watcher(self) -> neighbours.Report | None:
+        """Return a live watcher of the zone; followers share them by their names."""
+        now = self.clock()
+        names = self.peers.list_watchers(now)
+        live = [
+            report
+            for report in self.peers.list_live(now)
+            if report.name in names and report.watches
+        ]
+        if not live:
+            return None
+        return live[sum(self.name.encode()) % len(live)]
+
+    async def fetch(
+        self, connection: http1.Connection, peer: str, wait_s: float
+    ) -> None:
+        """Take what a peer knows beyond this balancer's beliefs."""
+        decisions = self.decisions
+        newest = await beliefs.fetch_beliefs(
+            connection,
+            decisions.directory.revision,
+            decisions.configuration.version,
+            wait_s,
+        )
+        self.count("belief_fetches", peer=peer)
+        beliefs.apply_beliefs(decisions, newest, self.clock())
+        self.take_change()
+
+    def note_fetch_failure(self, peer: str, error: Exception) -> None:
+        """Log that a peer did not pass its beliefs on."""
+        self.count("belief_failures", peer=peer)
+        jsonlog.log_failure("peer lost", peer=peer, cause=str(error))
+
+    async def catch_up(self, now: float) -> None:
+        """Ask a peer that has known more for some time, whatever the own source."""
+        newer = self.peers.find_newer(
+            self.decisions.directory.changed, self.decisions.configuration.version, now
+        )
+        if newer is None:
+            self.behind_since = None
+            return
+        if self.behind_since is None:
+            self.behind_since = now
+        if now - self.behind_since < BEHIND_S:
+            return
+        self.behind_since = None
+        jsonlog.log_event(
+            "catches up",
+            peer=newer.name,
+            upstreams=self.decisions.directory.changed,
+            configuration=self.decisions.configuration.version,
+        )
+        connection = http1.Connection(newer.address)
+        try:
+            await self.fetch(connection, newer.name, 0.0)
+        except beliefs.BeliefsError as error:
+            self.note_fetch_failure(newer.name, error)
+        finally:
+            connection.close()
+
+    async def answer_beliefs(self, request: http1.Request) -> http1.Response:
+        """Pass on what a peer does not know yet, as soon as there is anything."""
+        try:
+            revision, version, wait_s = beliefs.parse_query(request.target)
+        except ValueError as error:
+            return http1.Response(400, {}, str(error).encode())
+        deadline = self.clock() + wait_s
+        while not self.knows_more(revision, version):
+            self.news.clear()
+            left_s = deadline - self.clock()
+            if left_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(left_s):
+                    await self.news.wait()
+            except TimeoutError:
+                # The peer gets an answer without changes and asks again.
+                break
+        body = beliefs.collect_beliefs(self.decisions, revision, version)
+        return http1.Response(200, {"Content-Type": beliefs.CONTENT_TYPE}, body)
+
+    def knows_more(self, revision: int, version: int) -> bool:
+        """Tell whether there are changes after a revision or a version."""
+        return (
+            self.decisions.directory.changed > revision
+            or self.decisions.configuration.version > version
+        )
+
+    async def follow(self, name: str, prefix: str) -> None:
+        """Follow one prefix of the store."""
+        deliver = {
+            "configuration": self.take_configuration,
+            "upstreams": self.take_upstreams,
+        }[name]
+        client = storeclient.StoreClient(self.store_address)
+        follower = feed.Feed(
+            name,
+            prefix,
+            client,
+            deliver,
+            lambda call: self.count("store_calls", call=call),
+            self.may_watch,
+        )
+        await follower.run()
+
+    def take_configuration(self, batch: store.WatchBatch) -> None:
+        """Put the newest configuration of a batch in force."""
+        for event in batch.events:
+            if event.key != records.CONFIGURATION_KEY or event.deleted:
+                continue
+            try:
+                configuration = records.decode_configuration(event.value)
+            except records.RecordError as error:
+                jsonlog.log_failure(
+                    "configuration ignored",
+                    revision=event.mod_revision,
+                    cause=str(error),
+                )
+                continue
+            self.decisions.configure(configuration, self.clock())
+        self.take_change()
+
+    def take_upstreams(self, batch: store.WatchBatch) -> None:
+        """Take the changes of the registered upstreams."""
+        changes = []
+        for event in batch.events:
+            name = event.key.removeprefix(records.UPSTREAMS_PREFIX)
+            upstream: directory.Upstream | None = None
+            if not event.deleted:
+                try:
+                    upstream = records.decode_upstream(name, event.value)
+                except records.RecordError as error:
+                    jsonlog.log_failure(
+                        "upstream ignored",
+                        revision=event.mod_revision,
+                        cause=str(error),
+                    )
+            changes.append(directory.Change(name, upstream, event.mod_revision))
+        self.decisions.update_directory(
+            changes, batch.revision, batch.snapshot, self.clock()
+        )
+        self.take_change()
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -10,18 +10,15 @@
 from collections import abc
 
 from pistachioshed.adapters import (
-    beliefs,
-    feed,
     forwarding,
     http1,
     jsonlog,
     metrics,
     reporting,
 )
-from pistachioshed.apps import forwarderoptions
-from pistachioshed.core import directory, neighbours, presence, steering
-from pistachioshed.platform import packets, records, storeclient
-from pistachioshed.ports import store
+from pistachioshed.apps import following, forwarderoptions
+from pistachioshed.core import directory, neighbours, presence, segments, steering
+from pistachioshed.platform import packets, records
 
 TICK_S: typing.Final = 0.02  # A third of the time in which an opening is acknowledged.
 REPORT_IDLE_S: typing.Final = 0.25
@@ -30,11 +27,6 @@
 REPORT_MIN_S: typing.Final = 0.01
 REPORT_SQUARE_S: typing.Final = 0.0001
 PEERS_PASSED_ON: typing.Final = 3  # Under 60 bytes of each report.
-ROLE_S: typing.Final = 0.1
-# A new balancer has heard of the others of its zone by then.
-ROLE_SETTLE_S: typing.Final = 0.8
-# A report overtakes the change itself by less.
-BEHIND_S: typing.Final = 0.3
 PROBE_TIMEOUT_S: typing.Final = 0.4  # Below the interval of probes.
 PROBE_CONNECT_S: typing.Final = 0.15  # Over ten round trips to another zone.
 # The fabric takes a balancer out after 2 misses, 0.5 s apart.
@@ -71,11 +63,6 @@
         self.reported_at = 0.0
         self.stop_requested_at = 0.0
         self.unserved: list[str] = []
-        self.started_at = self.clock()
-        self.watching: list[asyncio.Task[None]] = []
-        self.behind_since: float | None = None
-        self.news = asyncio.Event()
-        self.may_watch = asyncio.Event()
         self.stopped = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
         self.peers = neighbours.Neighbours(
@@ -99,6 +86,15 @@
             self.clock,
             self.metrics.count,
         )
+        self.following = following.Following(
+            settings.name,
+            settings.store,
+            self.decisions,
+            self.start_task,
+            self.note_beliefs,
+            self.metrics.count,
+            self.clock,
+        )
         self.reports = reporting.ReportSocket(
             settings.peers, self.receive_report, self.metrics.count
         )
@@ -132,13 +128,15 @@
         loop.call_later(START_GRACE_S, self.open_plane)
         loop.add_reader(self.reports.sock, self.reports.receive)
         jsonlog.log_event("started", settings=self.settings._asdict())
-        self.start_watching()
+        self.following.start_watching()
         self.start_task(self.poll_settings())
-        self.start_task(self.keep_role())
+        self.start_task(self.following.keep_role())
         servers = [
             await http1.start_server(self.settings.ready, self.answer_ready),
             await http1.start_server(self.settings.metrics, self.answer_metrics),
-            await http1.start_server(self.settings.peers, self.answer_beliefs),
+            await http1.start_server(
+                self.settings.peers, self.following.answer_beliefs
+            ),
         ]
         self.start_task(self.keep_ticking())
         await self.stopped.wait()
@@ -165,219 +163,9 @@
             jsonlog.log_failure("task failed", task=task.get_name(), cause=repr(error))
             self.metrics.count("task_failures")
 
-    def start_watching(self) -> None:
-        """Follow the store."""
-        if not self.watching:
-            self.watching = [
-                self.start_task(
-                    self.follow("configuration", records.CONFIGURATION_KEY)
-                ),
-                self.start_task(self.follow("upstreams", records.UPSTREAMS_PREFIX)),
-            ]
-
-    def stop_watching(self) -> None:
-        """Leave the store to the watchers of the zone."""
-        for task in self.watching:
-            task.cancel()
-        self.watching = []
-
-    async def keep_role(self) -> None:
-        """Follow the store or a peer that does; catch up with peers that know more."""
-        follower: asyncio.Task[None] | None = None
-        while True:
-            await asyncio.sleep(ROLE_S)
-            now = self.clock()
-            if now - self.started_at > ROLE_SETTLE_S:
-                watchers = self.peers.list_watchers(now)
-                should_watch = self.settings.name in watchers
-                if should_watch:
-                    self.may_watch.set()
-                if not should_watch and (follower is None or follower.done()):
-                    follower = self.start_task(self.follow_peer())
-                    jsonlog.log_event("follows peers", watchers=watchers)
-                elif should_watch and follower is not None:
-                    follower.cancel()
-                    follower = None
-                    self.start_watching()
-                    jsonlog.log_event("follows the store", watchers=watchers)
-            await self.catch_up(now)
-
-    async def follow_peer(self) -> None:
-        """Take changes from a watcher of the zone; return when there is none."""
-        connection: http1.Connection | None = None
-        try:
-            while True:
-                watcher = self.find_watcher()
-                if watcher is None:
-                    self.may_watch.set()
-                    self.start_watching()
-                    await asyncio.sleep(ROLE_S)
-                    continue
-                if connection is None or connection.address != watcher.address:
-                    if connection is not None:
-                        connection.close()
-                    connection = http1.Connection(watcher.address)
-                try:
-                    await self.fetch(connection, watcher.name, beliefs.WAIT_S)
-                except beliefs.BeliefsError as error:
-                    self.note_fetch_failure(watcher.name, error)
-                    self.may_watch.set()
-                    self.start_watching()
-                    await asyncio.sleep(ROLE_S)
-                else:
-                    self.stop_watching()
-        finally:
-            if connection is not None:
-                connection.close()
-
-    def find_watcher(self) -> neighbours.Report | None:
-        """Return a live watcher of the zone; followers share them by their names."""
-        now = self.clock()
-        names = self.peers.list_watchers(now)
-        live = [
-            report
-            for report in self.peers.list_live(now)
-            if report.name in names and report.watches
-        ]
-        if not live:
-            return None
-        return live[sum(self.settings.name.encode()) % len(live)]
-
-    async def fetch(
-        self, connection: http1.Connection, peer: str, wait_s: float
-    ) -> None:
-        """Take what a peer knows beyond this balancer's beliefs."""
-        decisions = self.decisions
-        newest = await beliefs.fetch_beliefs(
-            connection,
-            decisions.directory.revision,
-            decisions.configuration.version,
-            wait_s,
-        )
-        self.metrics.count("belief_fetches", peer=peer)
-        beliefs.apply_beliefs(decisions, newest, self.clock())
-        self.plane.carry_out_orders()
-        self.note_beliefs()
-
-    def note_fetch_failure(self, peer: str, error: Exception) -> None:
-        """Log that a peer did not pass its beliefs on."""
-        self.metrics.count("belief_failures", peer=peer)
-        jsonlog.log_failure("peer lost", peer=peer, cause=str(error))
-
-    async def catch_up(self, now: float) -> None:
-        """Ask a peer that has known more for some time, whatever the own source."""
-        newer = self.peers.find_newer(
-            self.decisions.directory.changed, self.decisions.configuration.version, now
-        )
-        if newer is None:
-            self.behind_since = None
-            return
-        if self.behind_since is None:
-            self.behind_since = now
-        if now - self.behind_since < BEHIND_S:
-            return
-        self.behind_since = None
-        jsonlog.log_event(
-            "catches up",
-            peer=newer.name,
-            upstreams=self.decisions.directory.changed,
-            configuration=self.decisions.configuration.version,
-        )
-        connection = http1.Connection(newer.address)
-        try:
-            await self.fetch(connection, newer.name, 0.0)
-        except beliefs.BeliefsError as error:
-            self.note_fetch_failure(newer.name, error)
-        finally:
-            connection.close()
-
-    async def answer_beliefs(self, request: http1.Request) -> http1.Response:
-        """Pass on what a peer does not know yet, as soon as there is anything."""
-        try:
-            revision, version, wait_s = beliefs.parse_query(request.target)
-        except ValueError as error:
-            return http1.Response(400, {}, str(error).encode())
-        deadline = self.clock() + wait_s
-        while not self.knows_more(revision, version):
-            self.news.clear()
-            left_s = deadline - self.clock()
-            if left_s <= 0:
-                break
-            try:
-                async with asyncio.timeout(left_s):
-                    await self.news.wait()
-            except TimeoutError:
-                # The peer gets an answer without changes and asks again.
-                break
-        body = beliefs.collect_beliefs(self.decisions, revision, version)
-        return http1.Response(200, {"Content-Type": beliefs.CONTENT_TYPE}, body)
-
-    def knows_more(self, revision: int, version: int) -> bool:
-        """Tell whether there are changes after a revision or a version."""
-        return (
-            self.decisions.directory.changed > revision
-            or self.decisions.configuration.version > version
-        )
-
-    async def follow(self, name: str, prefix: str) -> None:
-        """Follow one prefix of the store."""
-        deliver = {
-            "configuration": self.take_configuration,
-            "upstreams": self.take_upstreams,
-        }[name]
-        client = storeclient.StoreClient(self.settings.store)
-        follower = feed.Feed(
-            name,
-            prefix,
-            client,
-            deliver,
-            lambda call: self.metrics.count("store_calls", call=call),
-            self.may_watch,
-        )
-        await follower.run()
-
-    def take_configuration(self, batch: store.WatchBatch) -> None:
-        """Put the newest configuration of a batch in force."""
-        for event in batch.events:
-            if event.key != records.CONFIGURATION_KEY or event.deleted:
-                continue
-            try:
-                configuration = records.decode_configuration(event.value)
-            except records.RecordError as error:
-                jsonlog.log_failure(
-                    "configuration ignored",
-                    revision=event.mod_revision,
-                    cause=str(error),
-                )
-                continue
-            self.decisions.configure(configuration, self.clock())
-        self.note_beliefs()
-
-    def take_upstreams(self, batch: store.WatchBatch) -> None:
-        """Take the changes of the registered upstreams."""
-        changes = []
-        for event in batch.events:
-            name = event.key.removeprefix(records.UPSTREAMS_PREFIX)
-            upstream: directory.Upstream | None = None
-            if not event.deleted:
-                try:
-                    upstream = records.decode_upstream(name, event.value)
-                except records.RecordError as error:
-                    jsonlog.log_failure(
-                        "upstream ignored",
-                        revision=event.mod_revision,
-                        cause=str(error),
-                    )
-            changes.append(directory.Change(name, upstream, event.mod_revision))
-        self.decisions.update_directory(
-            changes, batch.revision, batch.snapshot, self.clock()
-        )
-        self.plane.carry_out_orders()
-        self.note_beliefs()
-
     def note_beliefs(self) -> None:
-        """Pass news on; start to serve once configuration and upstreams are known."""
-        self.news.set()
+        """Start to serve once configuration and upstreams are known."""
+        self.plane.carry_out_orders()
         if self.decisions.configuration.version and self.decisions.directory.revision:
             before = self.presence.state
             self.presence.signals.note_beliefs()
@@ -445,7 +233,7 @@
         recipients = self.peers.list_recipients(self.sequence)
         if waited_s < REPORT_MIN_S + REPORT_SQUARE_S * len(recipients) ** 2:
             return
-        loads = self.decisions.list_loads()
+        loads = self.decisions.evidence.list_loads()
         if loads == self.last_loads and waited_s < REPORT_IDLE_S:
             return
         self.last_loads = loads
@@ -459,7 +247,7 @@
             self.settings.peers,
             self.start_ms,
             self.sequence,
-            bool(self.watching),
+            bool(self.following.watching),
             self.presence.state == "leaving",
             self.settings.capacity,
             self.decisions.directory.changed,
@@ -480,7 +268,7 @@
         """Ask a suspected upstream for its health."""
         limits = self.decisions.configuration.services[upstream.service]
         connection = http1.Connection(upstream.address, PROBE_CONNECT_S)
-        outcome: steering.ProbeOutcome
+        outcome: segments.ProbeOutcome
         try:
             response = await connection.request(
                 "GET", limits.health_path, PROBE_TIMEOUT_S
@@ -553,7 +341,7 @@
         )
 
 
-def format_flow(segment: steering.Segment) -> str:
+def format_flow(segment: segments.Segment) -> str:
     """Return the two ends of a flow as "ip:port>ip:port"."""
     caller, caller_port = segment.caller
     target, target_port = segment.target
--- a/src/pistachioshed/core/steering.py
+++ b/src/pistachioshed/core/steering.py
@@ -9,7 +9,15 @@
 import typing
 from collections import abc
 
-from pistachioshed.core import directory, neighbours, outlook, routing, selection
+from pistachioshed.core import (
+    directory,
+    evidence,
+    neighbours,
+    outlook,
+    routing,
+    segments,
+    selection,
+)
 
 # Round trip between balancer, caller and upstream is 2 to 8 ms on the users' sheets;
 # callers repeat an opening after 200 ms.
@@ -28,7 +36,6 @@
 PEER_SUSPICION_AGE_S: typing.Final = 0.1
 # A longer pause of this process makes every flow look silent.
 PAUSE_S: typing.Final = 0.1
-PROBE_INTERVAL_S: typing.Final = 0.5  # The interval at which the users' fabric probes.
 # One connection may be lost; with two in a row and silent flows the host is gone.
 PROBES_SILENT: typing.Final = 2
 LATENCY_GAIN: typing.Final = 0.05
@@ -37,126 +44,6 @@
 SEQUENCE_RANGE: typing.Final = 2**32
 HALF_SEQUENCE_RANGE: typing.Final = 2**31
 
-FlowKey = tuple[int, int, int, int]
-"""IPv4 address and port of a caller, then of the target it opened the flow to."""
-
-Incarnation = tuple[str, int]
-"""Name and start of an upstream: a restarted one knows nothing of before."""
-
-Record = abc.Callable[..., None]
-"""Takes the name of a decision or belief and its inputs as keywords."""
-
-Observe = abc.Callable[[str, float], None]
-"""Takes the name of a route and the latency of a response in seconds."""
-
-
-class Segment(typing.NamedTuple):
-    """The header fields of a caller's packet that decide where it goes.
-
-    `copy` counts how often the caller has repeated an opening; `acknowledged` is the
-    next byte it expects, `token` names the flow's upstream.
-    """
-
-    caller: tuple[int, int]
-    target: routing.Target
-    sequence: int
-    acknowledged: int
-    copy: int
-    token: int
-    length: int
-    opening: bool
-    closing: bool
-    reset: bool
-
-
-class Forward(typing.NamedTuple):
-    """Send the packet to an upstream; mark it with the upstream's token if `mark`."""
-
-    upstream: directory.Upstream
-    mark: bool
-
-
-class Refuse(typing.NamedTuple):
-    """Reset the flow: its opening was not handed to any upstream that took it."""
-
-    reason: str
-
-
-class Drop(typing.NamedTuple):
-    """Do nothing with the packet."""
-
-    reason: str
-
-
-Action = Forward | Refuse | Drop
-
-
-class Order(typing.NamedTuple):
-    """Something to send without a packet that asks for it right now."""
-
-    action: Forward | Refuse
-    segment: Segment
-    packet: bytes
-
-
-ProbeOutcome = typing.Literal["passed", "failed", "busy", "refused", "silent"]
-"""Healthy; answered otherwise; connected but did not answer in time; its machine has no
-such port; did not connect in time."""
-
-
-class Flow:
-    """A flow that this balancer placed.
-
-    `placed_at` is when it was given to its upstream, `asked_at` when its request was
-    sent on. `counted` tells whether it is among its upstream's outstanding requests.
-    `segment` and `packet` are its opening; `repeated` if that was sent twice.
-    """
-
-    __slots__ = (
-        "acknowledged",
-        "asked_at",
-        "counted",
-        "key",
-        "opened",
-        "overdue",
-        "packet",
-        "placed_at",
-        "repeated",
-        "route",
-        "seen_at",
-        "segment",
-        "sent_through",
-        "sequence",
-        "tried",
-        "upstream",
-    )
-
-    def __init__(
-        self,
-        key: FlowKey,
-        route: routing.Route,
-        upstream: directory.Upstream,
-        segment: Segment,
-        packet: bytes,
-        now: float,
-    ) -> None:
-        self.key = key
-        self.overdue = False
-        self.route = route
-        self.upstream = upstream
-        self.segment = segment
-        self.packet = packet
-        self.sequence = segment.sequence
-        self.placed_at = now
-        self.seen_at = now
-        self.asked_at = now
-        self.counted = False
-        self.opened = False
-        self.repeated = False
-        self.acknowledged = 0
-        self.sent_through = segment.sequence
-        self.tried: list[str] = []
-
 
 class Steering:
     """Decisions about packets, from what is believed and what passes.
@@ -179,8 +66,8 @@
         self,
         zone: str,
         peers: neighbours.Neighbours,
-        record: Record,
-        observe: Observe,
+        record: segments.Record,
+        observe: segments.Observe,
         seed: int,
     ) -> None:
         self.zone = zone
@@ -192,19 +79,21 @@
         self.configuration = routing.EMPTY_CONFIGURATION
         self.configured_at = 0.0
         self.directory_at = 0.0
-        self.flows: dict[FlowKey, Flow] = {}
-        self.pending: dict[FlowKey, Flow] = {}
-        self.waiting: dict[FlowKey, Flow] = {}
+        self.flows: dict[segments.FlowKey, segments.Flow] = {}
+        self.pending: dict[segments.FlowKey, segments.Flow] = {}
+        self.waiting: dict[segments.FlowKey, segments.Flow] = {}
         self.waited_at = 0.0
-        self.outlooks: dict[Incarnation, outlook.Outlook] = {}
+        self.evidence = evidence.Evidence(self.directory, peers, record)
         self.latency_s: dict[str, float] = {}
         self.ticked_at = 0.0
         self.swept_at = 0.0
         self.judge_from = 0.0
         self.silent_zones: set[str] = set()
-        self.orders: list[Order] = []
+        self.orders: list[segments.Order] = []
 
-    def handle(self, segment: Segment, packet: bytes, now: float) -> Action:
+    def handle(
+        self, segment: segments.Segment, packet: bytes, now: float
+    ) -> segments.Action:
         """Decide what becomes of a caller's packet."""
         if segment.opening:
             return self._open(segment, packet, now)
@@ -247,30 +136,16 @@
             upstream = self.directory.by_token.get(entry.token)
             if not entry.suspected or upstream is None:
                 continue
-            evidence = self._find_outlook(upstream)
-            if now - evidence.heard_at <= PEER_SUSPICION_AGE_S:
+            known = self.evidence.find(upstream)
+            if now - known.heard_at <= PEER_SUSPICION_AGE_S:
                 continue
             if report.zone == self.zone:
-                self._suspect(upstream, evidence, report.name, now)
-            elif now - evidence.doubted_at > PROBE_INTERVAL_S:
+                self.evidence.suspect(upstream, known, report.name, now)
+            elif now - known.doubted_at > evidence.PROBE_INTERVAL_S:
                 # A peer of another zone may be cut off from the upstream itself.
-                evidence.doubt(now)
+                known.doubt(now)
         return True
 
-    def list_loads(self) -> tuple[neighbours.UpstreamLoad, ...]:
-        """Return this balancer's own outstanding requests and suspicions."""
-        loads = []
-        for incarnation, evidence in self.outlooks.items():
-            upstream = self._find_current(incarnation)
-            suspected = evidence.suspected_at is not None and evidence.own
-            if upstream is not None and (evidence.outstanding or suspected):
-                loads.append(
-                    neighbours.UpstreamLoad(
-                        upstream.token, evidence.outstanding, suspected
-                    )
-                )
-        return tuple(loads)
-
     def tick(self, now: float) -> list[directory.Upstream]:
         """Judge silence and forget old flows; return the upstreams to probe."""
         if now - self.ticked_at > PAUSE_S:
@@ -291,20 +166,22 @@
         if now - self.swept_at >= SWEEP_INTERVAL_S:
             self.swept_at = now
             self._sweep(now)
-        return self._list_probes(now)
+        return self.evidence.list_probes(
+            self.silent_zones, self.configuration.services, now
+        )
 
     def record_probe(
         self,
         upstream: directory.Upstream,
-        outcome: ProbeOutcome,
+        outcome: segments.ProbeOutcome,
         detail: str,
         now: float,
     ) -> None:
         """Take the result of a health check of a suspected upstream."""
-        evidence = self._find_outlook(upstream)
-        since = evidence.suspected_at
-        evidence.probing = False
-        if evidence.record_probe(outcome == "passed", outcome == "silent", now):
+        known = self.evidence.find(upstream)
+        since = known.suspected_at
+        known.probing = False
+        if known.record_probe(outcome == "passed", outcome == "silent", now):
             self.record(
                 "upstream trusted",
                 upstream=upstream.name,
@@ -312,12 +189,12 @@
                 outcome=detail,
                 suspected_s=round(now - (since or now), 3),
             )
-        if outcome in ("passed", "busy") or evidence.heard_at >= evidence.doubted_at:
+        if outcome in ("passed", "busy") or known.heard_at >= known.doubted_at:
             return
-        self._suspect(upstream, evidence, detail, now)
+        self.evidence.suspect(upstream, known, detail, now)
         if outcome == "refused":
             self._abandon(upstream.name, "its upstream has ended", now)
-        elif outcome == "silent" and evidence.silent_probes >= PROBES_SILENT:
+        elif outcome == "silent" and known.silent_probes >= PROBES_SILENT:
             if upstream.zone not in self.silent_zones:
                 self._abandon(upstream.name, "its upstream is silent", now)
 
@@ -327,18 +204,20 @@
         for service in self.configuration.services:
             upstreams = self.directory.list_service(service)
             if upstreams and all(
-                self._find_outlook(upstream).suspected_at is not None
+                self.evidence.find(upstream).suspected_at is not None
                 for upstream in upstreams
             ):
                 unserved.append(service)
         return unserved
 
-    def _open(self, segment: Segment, packet: bytes, now: float) -> Action:
+    def _open(
+        self, segment: segments.Segment, packet: bytes, now: float
+    ) -> segments.Action:
         route = self.configuration.routes.get(segment.target)
         if route is None:
             reason = "no route" if self.configuration.version else "no configuration"
             self._record_refusal(segment, reason)
-            return Refuse(reason)
+            return segments.Refuse(reason)
         key = (*segment.caller, *segment.target)
         flow = self.flows.get(key)
         if flow is not None and flow.sequence == segment.sequence:
@@ -346,44 +225,46 @@
         if flow is not None:
             self._forget(key, flow)
         chosen = self._choose(route, key, (), now)
-        if isinstance(chosen, Refuse):
+        if isinstance(chosen, segments.Refuse):
             self._record_refusal(segment, chosen.reason)
             return chosen
         if len(self.flows) >= FLOWS_MAX:
             self._forget(*next(iter(self.flows.items())))
-        flow = Flow(key, route, chosen.upstream, segment, packet, now)
+        flow = segments.Flow(key, route, chosen.upstream, segment, packet, now)
         self.flows[key] = flow
         self._place(key, flow, segment, chosen, now)
-        return Forward(chosen.upstream, mark=True)
+        return segments.Forward(chosen.upstream, mark=True)
 
     def _repeat_opening(
         self,
-        key: FlowKey,
-        flow: Flow,
-        segment: Segment,
+        key: segments.FlowKey,
+        flow: segments.Flow,
+        segment: segments.Segment,
         now: float,
-    ) -> Action:
+    ) -> segments.Action:
         """Offer a copy of an opening to the next upstream if the last one is silent."""
         if flow.opened or self._is_answering(flow):
-            return Forward(flow.upstream, mark=True)
+            return segments.Forward(flow.upstream, mark=True)
         if now - flow.placed_at < OPENING_MOVED_S:
-            return Forward(flow.upstream, mark=True)
+            return segments.Forward(flow.upstream, mark=True)
         if self._may_judge(now):
-            self._note_silence(flow.upstream, flow.placed_at, "repeated opening", now)
+            self.evidence.note_silence(
+                flow.upstream, flow.placed_at, "repeated opening", now
+            )
         return self._move_opening(key, flow, segment, now)
 
     def _move_opening(
         self,
-        key: FlowKey,
-        flow: Flow,
-        segment: Segment,
+        key: segments.FlowKey,
+        flow: segments.Flow,
+        segment: segments.Segment,
         now: float,
-    ) -> Forward | Refuse:
+    ) -> segments.Forward | segments.Refuse:
         """Offer an opening that its upstream did not answer to another one."""
         flow.tried.append(flow.upstream.name)
         self._uncount(flow)
         chosen = self._choose(flow.route, key, flow.tried, now)
-        if isinstance(chosen, Refuse):
+        if isinstance(chosen, segments.Refuse):
             self._record_refusal(segment, chosen.reason)
             self._forget(key, flow)
             return chosen
@@ -391,26 +272,26 @@
         flow.placed_at = flow.asked_at = now
         flow.repeated = False
         self._place(key, flow, segment, chosen, now)
-        return Forward(chosen.upstream, mark=True)
+        return segments.Forward(chosen.upstream, mark=True)
 
-    def _is_answering(self, flow: Flow) -> bool:
+    def _is_answering(self, flow: segments.Flow) -> bool:
         """Tell whether the upstream answered others since it got this opening."""
-        evidence = self._find_outlook(flow.upstream)
-        is_alive = evidence.heard_at >= flow.placed_at
+        known = self.evidence.find(flow.upstream)
+        is_alive = known.heard_at >= flow.placed_at
         return is_alive and flow.upstream.name in self.directory.upstreams
 
     def _place(
         self,
-        key: FlowKey,
-        flow: Flow,
-        segment: Segment,
+        key: segments.FlowKey,
+        flow: segments.Flow,
+        segment: segments.Segment,
         chosen: selection.Candidate,
         now: float,
     ) -> None:
         self._count(flow)
-        evidence = self._find_outlook(chosen.upstream)
-        if evidence.suspected_at is not None:
-            evidence.record_trial(now)
+        known = self.evidence.find(chosen.upstream)
+        if known.suspected_at is not None:
+            known.record_trial(now)
         self.pending.pop(key, None)
         self.pending[key] = flow
         self.record(
@@ -429,13 +310,13 @@
     def _choose(
         self,
         route: routing.Route,
-        key: FlowKey,
+        key: segments.FlowKey,
         tried: abc.Sequence[str],
         now: float,
-    ) -> selection.Candidate | Refuse:
+    ) -> selection.Candidate | segments.Refuse:
         service = routing.choose_service(route, repr(key).encode())
         if service is None:
-            return Refuse("route without weights")
+            return segments.Refuse("route without weights")
         limits = self.configuration.services.get(service)
         candidates = []
         for upstream in self.directory.list_service(service):
@@ -446,32 +327,32 @@
                 candidates.append(candidate)
         chosen = selection.choose_upstream(candidates, self.zone, self.draw)
         if chosen is None:
-            return Refuse(f"no upstream of {service}")
+            return segments.Refuse(f"no upstream of {service}")
         wait_s = selection.estimate_cost(chosen, self.zone) * self.latency_s.get(
             route.name, 0.0
         )
         if wait_s > route.timeout_s:
-            return Refuse(f"{service} is overloaded")
+            return segments.Refuse(f"{service} is overloaded")
         return chosen
 
     def _assess(
         self, upstream: directory.Upstream, tried: abc.Sequence[str], now: float
     ) -> selection.Candidate:
-        evidence = self._find_outlook(upstream)
+        known = self.evidence.find(upstream)
         return selection.Candidate(
             upstream,
-            evidence.outstanding + self.peers.count_outstanding(upstream.token),
-            evidence.slowness,
+            known.outstanding + self.peers.count_outstanding(upstream.token),
+            known.slowness,
             self.directory.is_cold(upstream, now),
             selection.Tier(
                 tried.count(upstream.name),
-                evidence.suspected_at is not None and not evidence.may_try(now),
+                known.suspected_at is not None and not known.may_try(now),
                 upstream.zone in self.silent_zones,
                 upstream.name in self.directory.lapsed_at,
             ),
         )
 
-    def _carry(self, segment: Segment, now: float) -> Action:
+    def _carry(self, segment: segments.Segment, now: float) -> segments.Action:
         key = (*segment.caller, *segment.target)
         flow = self.flows.get(key)
         upstream = self.directory.find_by_token(segment.token)
@@ -484,7 +365,7 @@
                     token=segment.token,
                     upstreams=self.directory.revision,
                 )
-                return Drop("unknown token")
+                return segments.Drop("unknown token")
             upstream = flow.upstream
         if flow is not None:
             if upstream.token != flow.upstream.token:
@@ -493,29 +374,29 @@
                 flow.upstream = upstream
                 self._count(flow)
             self._observe(key, flow, segment, now)
-        return Forward(upstream, mark=False)
+        return segments.Forward(upstream, mark=False)
 
     def _observe(
         self,
-        key: FlowKey,
-        flow: Flow,
-        segment: Segment,
+        key: segments.FlowKey,
+        flow: segments.Flow,
+        segment: segments.Segment,
         now: float,
     ) -> None:
         """Learn from a packet of a flow that this balancer placed."""
-        evidence = self._find_outlook(flow.upstream)
+        known = self.evidence.find(flow.upstream)
         flow.seen_at = now
         if not flow.opened:
             flow.opened = True
             flow.acknowledged = segment.acknowledged
             self.pending.pop(key, None)
-            self._note_life(flow.upstream, evidence, now)
+            self.evidence.note_life(flow.upstream, known, now)
         elif _is_after(segment.acknowledged, flow.acknowledged):
             flow.acknowledged = segment.acknowledged
-            self._note_life(flow.upstream, evidence, now)
+            self.evidence.note_life(flow.upstream, known, now)
             if flow.counted:
                 self._uncount(flow)
-                self._learn_latency(flow, evidence, now)
+                self._learn_latency(flow, known, now)
         if segment.length:
             self._observe_data(key, flow, segment, now)
         if segment.closing or segment.reset:
@@ -523,9 +404,9 @@
 
     def _observe_data(
         self,
-        key: FlowKey,
-        flow: Flow,
-        segment: Segment,
+        key: segments.FlowKey,
+        flow: segments.Flow,
+        segment: segments.Segment,
         now: float,
     ) -> None:
         end = (segment.sequence + segment.length) % SEQUENCE_RANGE
@@ -535,12 +416,16 @@
             if not flow.counted:
                 self._count(flow)
         elif now - flow.asked_at > REPEAT_MIN_S and self._may_judge(now):
-            self._note_silence(flow.upstream, flow.asked_at, "repeated data", now)
+            self.evidence.note_silence(
+                flow.upstream, flow.asked_at, "repeated data", now
+            )
             unreachable = flow.upstream.zone in self.silent_zones
             if unreachable and flow.route.kind != "unsafe":
                 self._give_up(key, flow, "its upstream can not be reached")
 
-    def _learn_latency(self, flow: Flow, evidence: outlook.Outlook, now: float) -> None:
+    def _learn_latency(
+        self, flow: segments.Flow, known: outlook.Outlook, now: float
+    ) -> None:
         latency_s = now - flow.asked_at
         self.observe(flow.route.name, latency_s)
         typical_s = self.latency_s.get(flow.route.name)
@@ -552,9 +437,9 @@
         )
         slots = flow.upstream.slots
         others = self.peers.count_outstanding(flow.upstream.token)
-        if evidence.outstanding + others < slots:
+        if known.outstanding + others < slots:
             # With more in progress the latency is that of the queue.
-            evidence.record_latency(latency_s / max(typical_s, 0.001))
+            known.record_latency(latency_s / max(typical_s, 0.001))
 
     def _judge_openings(self, now: float) -> None:
         """Hold openings against silent upstreams; repeat them, then move them.
@@ -575,10 +460,10 @@
                 flow.repeated = True
                 if not flow.tried:
                     # The caller of a moved opening may have given up.
-                    self._note_silence(
+                    self.evidence.note_silence(
                         flow.upstream, flow.placed_at, "no handshake", now
                     )
-                self._order(Forward(flow.upstream, mark=True), flow)
+                self._order(segments.Forward(flow.upstream, mark=True), flow)
             elif waited_s >= OPENING_MOVED_S:
                 self._order(self._move_opening(key, flow, flow.segment, now), flow)
 
@@ -593,13 +478,15 @@
             allowed_s = max(RESPONSE_OVERDUE_S, RESPONSE_OVERDUE_FACTOR * typical_s)
             if now - flow.asked_at > allowed_s:
                 flow.overdue = True
-                evidence = self._find_outlook(flow.upstream)
+                known = self.evidence.find(flow.upstream)
                 # Late responses of a host that answers others mean load, not silence.
-                if now - evidence.heard_at > allowed_s:
-                    evidence.doubt(now)
+                if now - known.heard_at > allowed_s:
+                    known.doubt(now)
 
-    def _order(self, action: Forward | Refuse, flow: Flow) -> None:
-        self.orders.append(Order(action, flow.segment, flow.packet))
+    def _order(
+        self, action: segments.Forward | segments.Refuse, flow: segments.Flow
+    ) -> None:
+        self.orders.append(segments.Order(action, flow.segment, flow.packet))
 
     def _abandon(self, name: str, reason: str, now: float) -> None:
         """Give up the flows of an upstream that is known to have ended.
@@ -616,7 +503,7 @@
             elif flow.route.kind != "unsafe":
                 self._give_up(key, flow, reason)
 
-    def _give_up(self, key: FlowKey, flow: Flow, reason: str) -> None:
+    def _give_up(self, key: segments.FlowKey, flow: segments.Flow, reason: str) -> None:
         """Reset an open flow."""
         last = flow.segment._replace(acknowledged=flow.acknowledged, opening=False)
         self.record(
@@ -627,67 +514,9 @@
             reason=reason,
             upstreams=self.directory.revision,
         )
-        self.orders.append(Order(Refuse(reason), last, b""))
+        self.orders.append(segments.Order(segments.Refuse(reason), last, b""))
         self._forget(key, flow)
 
-    def _note_silence(
-        self, upstream: directory.Upstream, since: float, cause: str, now: float
-    ) -> None:
-        """Doubt an upstream for one silent flow, suspect it for a second."""
-        evidence = self._find_outlook(upstream)
-        if evidence.record_strike(since, now):
-            self._suspect(upstream, evidence, cause, now)
-
-    def _suspect(
-        self,
-        upstream: directory.Upstream,
-        evidence: outlook.Outlook,
-        cause: str,
-        now: float,
-    ) -> None:
-        if evidence.suspect(cause not in self.peers.peers, now):
-            self.record(
-                "upstream suspected",
-                upstream=upstream.name,
-                evidence=cause,
-                silent_s=round(min(now - evidence.heard_at, 999.0), 3),
-                strikes=evidence.strikes,
-                upstreams=self.directory.revision,
-            )
-
-    def _note_life(
-        self, upstream: directory.Upstream, evidence: outlook.Outlook, now: float
-    ) -> None:
-        since = evidence.suspected_at
-        if evidence.record_life(now):
-            self.record(
-                "upstream trusted",
-                upstream=upstream.name,
-                evidence="flow",
-                suspected_s=round(now - (since or now), 3),
-            )
-
-    def _list_probes(self, now: float) -> list[directory.Upstream]:
-        due = []
-        for incarnation, evidence in self.outlooks.items():
-            upstream = self._find_current(incarnation)
-            if upstream is None or upstream.draining:
-                continue
-            if upstream.zone in self.silent_zones:
-                continue
-            if upstream.service not in self.configuration.services:
-                continue
-            doubted = evidence.doubted_at > evidence.probed_at
-            waited = now - evidence.probed_at >= PROBE_INTERVAL_S
-            again = evidence.silent_probes == 1 and not evidence.probing
-            if not evidence.probing and (
-                doubted or again or (evidence.suspected_at is not None and waited)
-            ):
-                evidence.probing = True
-                evidence.probed_at = now
-                due.append(upstream)
-        return due
-
     def _sweep(self, now: float) -> None:
         idle_s = self.configuration.flow_idle_s
         for key, flow in list(self.flows.items()):
@@ -696,38 +525,22 @@
                 self._forget(key, flow)
             elif flow.counted and quiet_s > flow.route.timeout_s:
                 self._uncount(flow)
-        for incarnation in list(self.outlooks):
-            if self._find_current(incarnation) is None:
-                del self.outlooks[incarnation]
-
-    def _find_outlook(self, upstream: directory.Upstream) -> outlook.Outlook:
-        incarnation = (upstream.name, upstream.born_ms)
-        known = self.outlooks.get(incarnation)
-        if known is None:
-            known = self.outlooks[incarnation] = outlook.Outlook()
-        return known
-
-    def _find_current(self, incarnation: Incarnation) -> directory.Upstream | None:
-        """Return the registered upstream, unless it has started anew since."""
-        upstream = self.directory.upstreams.get(incarnation[0])
-        if upstream is None or upstream.born_ms != incarnation[1]:
-            return None
-        return upstream
-
-    def _count(self, flow: Flow) -> None:
+        self.evidence.forget()
+
+    def _count(self, flow: segments.Flow) -> None:
         flow.counted = True
         flow.overdue = False
         self.waiting[flow.key] = flow
-        self._find_outlook(flow.upstream).outstanding += 1
+        self.evidence.find(flow.upstream).outstanding += 1
 
-    def _uncount(self, flow: Flow) -> None:
+    def _uncount(self, flow: segments.Flow) -> None:
         if flow.counted:
             flow.counted = False
             self.waiting.pop(flow.key, None)
-            evidence = self._find_outlook(flow.upstream)
-            evidence.outstanding = max(0, evidence.outstanding - 1)
+            known = self.evidence.find(flow.upstream)
+            known.outstanding = max(0, known.outstanding - 1)
 
-    def _forget(self, key: FlowKey, flow: Flow) -> None:
+    def _forget(self, key: segments.FlowKey, flow: segments.Flow) -> None:
         self._uncount(flow)
         self.flows.pop(key, None)
         self.pending.pop(key, None)
@@ -735,7 +548,7 @@
     def _may_judge(self, now: float) -> bool:
         return now >= self.judge_from
 
-    def _record_refusal(self, segment: Segment, reason: str) -> None:
+    def _record_refusal(self, segment: segments.Segment, reason: str) -> None:
         self.record(
             "refused",
             segment=segment,
--- a/src/pistachioshed/platform/packets.py
+++ b/src/pistachioshed/platform/packets.py
@@ -4,7 +4,7 @@
 import struct
 import typing
 
-from pistachioshed.core import steering
+from pistachioshed.core import segments
 
 # seq, ack, echo, len, sport, dport, dst, src, flags, sum.
 HEADER: typing.Final = struct.Struct(">IIIHHHIIBI")
@@ -21,7 +21,7 @@
     """A datagram that is no packet of a caller."""
 
 
-def decode_packet(data: bytes) -> steering.Segment:
+def decode_packet(data: bytes) -> segments.Segment:
     """Read the header of a caller's packet.
 
     Raises
@@ -39,7 +39,7 @@
     opening = bool(flags & FLAG_OPENING)
     if opening and flags & FLAG_ACKNOWLEDGING:
         raise PacketError("a caller does not accept a flow")
-    return steering.Segment(
+    return segments.Segment(
         caller=(src, sport),
         target=(dst, dport),
         sequence=seq,
@@ -53,7 +53,7 @@
     )
 
 
-def encode_forward(data: bytes, action: steering.Forward) -> bytes:
+def encode_forward(data: bytes, action: segments.Forward) -> bytes:
     """Return the datagram for an upstream: its number, then the packet."""
     number = NUMBER.pack(action.upstream.number)
     if not action.mark:
@@ -63,7 +63,7 @@
     return b"".join((number, data[:TOKEN_OFFSET], token, rest))
 
 
-def encode_reset(segment: steering.Segment) -> bytes:
+def encode_reset(segment: segments.Segment) -> bytes:
     """Return the reset of a flow for its caller, of a sum that hosts do not use."""
     source, source_port = segment.target
     caller, caller_port = segment.caller
--- a/tests/forwarderfleet.py
+++ b/tests/forwarderfleet.py
@@ -12,7 +12,7 @@
 
 from pistachioshed.adapters import http1, jsonlog
 from pistachioshed.apps import forwarder, forwarderoptions
-from pistachioshed.core import steering
+from pistachioshed.core import segments
 from pistachioshed.platform import packets
 from standins import metadatastore
 
@@ -84,7 +84,7 @@
     return msgspec.json.encode(entry | changes)
 
 
-def encode_packet(segment: steering.Segment) -> bytes:
+def encode_packet(segment: segments.Segment) -> bytes:
     """Return the packet that a caller sends."""
     flags = packets.FLAG_OPENING if segment.opening else packets.FLAG_ACKNOWLEDGING
     return packets.HEADER.pack(
@@ -101,9 +101,9 @@
     )
 
 
-def build_opening(port: int) -> steering.Segment:
+def build_opening(port: int) -> segments.Segment:
     """Return the opening of a caller's flow."""
-    return steering.Segment(
+    return segments.Segment(
         caller=(packets.parse_ip(CALLER_IP), port),
         target=(packets.parse_ip(TARGET[0]), TARGET[1]),
         sequence=1_000,
--- a/tests/steeringbuilders.py
+++ b/tests/steeringbuilders.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from pistachioshed.core import directory, neighbours, routing, steering
+from pistachioshed.core import directory, neighbours, routing, segments, steering
 
 CALLER: typing.Final = (0x64400007, 40001)
 TARGET: typing.Final = (0xC6120001, 443)
@@ -54,9 +54,9 @@
     )
 
 
-def build_segment(**changes: typing.Any) -> steering.Segment:
+def build_segment(**changes: typing.Any) -> segments.Segment:
     """Return the opening of a flow."""
-    segment = steering.Segment(
+    segment = segments.Segment(
         caller=CALLER,
         target=TARGET,
         sequence=1_000,
@@ -71,7 +71,7 @@
     return segment._replace(**changes)
 
 
-def build_data(token: int, **changes: typing.Any) -> steering.Segment:
+def build_data(token: int, **changes: typing.Any) -> segments.Segment:
     """Return a packet of an open flow, without data."""
     values = {"token": token, "opening": False, "sequence": 1_001, "acknowledged": 501}
     return build_segment(**(values | changes))
@@ -145,7 +145,7 @@
     def open(self, port: int = CALLER[1], now: float = 0.0) -> directory.Upstream:
         """Open a flow and return its upstream."""
         action = self.send(build_segment(caller=(CALLER[0], port)), now)
-        assert isinstance(action, steering.Forward)
+        assert isinstance(action, segments.Forward)
         return action.upstream
 
     def answer(
@@ -154,7 +154,7 @@
         """Pass the caller's end of the handshake of a flow."""
         self.send(build_data(upstream.token, caller=(CALLER[0], port)), now)
 
-    def send(self, segment: steering.Segment, now: float = 0.0) -> steering.Action:
+    def send(self, segment: segments.Segment, now: float = 0.0) -> segments.Action:
         """Handle a packet."""
         return self.steering.handle(segment, b"packet", now)
 
@@ -167,7 +167,7 @@
             due += self.steering.tick(step)
         return due
 
-    def take_orders(self) -> list[steering.Order]:
+    def take_orders(self) -> list[segments.Order]:
         """Return what was ordered since the last call."""
         orders, self.steering.orders = self.steering.orders, []
         return orders
--- a/tests/test_beliefsmodel.py
+++ b/tests/test_beliefsmodel.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
-from pistachioshed.core import directory, routing, steering
+from pistachioshed.core import directory, routing, segments
 from tests import steeringbuilders as build
 
 NUMBERS = strategies.integers(1, 5)
@@ -112,7 +112,7 @@
         caller = (build.CALLER[0], self.port)
         action = self.balancer.send(build.build_segment(caller=caller), self.now)
         known = self.balancer.steering
-        if isinstance(action, steering.Refuse):
+        if isinstance(action, segments.Refuse):
             service = known.configuration.routes[build.TARGET].shares[0].service
             assert not [
                 entry
@@ -120,7 +120,7 @@
                 if not entry.draining
             ]
             return
-        assert isinstance(action, steering.Forward)
+        assert isinstance(action, segments.Forward)
         shares = known.configuration.routes[build.TARGET].shares
         assert action.upstream.service == shares[0].service
         assert action.upstream == known.directory.upstreams[action.upstream.name]
@@ -129,7 +129,7 @@
         if answered:
             data = build.build_data(action.upstream.token, caller=caller)
             carried = self.balancer.send(data, self.now)
-            assert carried == steering.Forward(action.upstream, mark=False)
+            assert carried == segments.Forward(action.upstream, mark=False)
             if finished:
                 end = data._replace(acknowledged=900, closing=True)
                 self.balancer.send(end, self.now)
@@ -171,7 +171,7 @@
             assert flow.counted
             key = (flow.upstream.name, flow.upstream.born_ms)
             counted[key] = counted.get(key, 0) + 1
-        for key, evidence in known.outlooks.items():
+        for key, evidence in known.evidence.outlooks.items():
             assert evidence.outstanding == counted.get(key, 0)
         assert set(known.pending) <= set(known.flows)
         assert set(known.waiting) <= set(known.flows)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -111,7 +111,9 @@
             forwarders = [await fleet.start_forwarder(number) for number in (1, 2, 3)]
             third = forwarders[2]
             await forwarderfleet.wait_until(
-                lambda: third.presence.state == "serving" and not third.watching
+                lambda: (
+                    third.presence.state == "serving" and not third.following.watching
+                )
             )
             leaving = forwarderfleet.encode_entry(("127.0.0.50", 9), state="draining")
             fleet.store.put("servers/i-00000001", leaving)
@@ -128,7 +130,7 @@
                 )
 
             await forwarderfleet.wait_until(is_current)
-            assert not third.watching
+            assert not third.following.watching
 
     asyncio.run(scenario())
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from pistachioshed.core import directory, neighbours, outlook, routing, steering
+from pistachioshed.core import (
+    directory,
+    neighbours,
+    outlook,
+    routing,
+    segments,
+    steering,
+)
 from tests import steeringbuilders as build
 
 FIRST = build.build_upstream(1)
@@ -18,14 +25,14 @@
 def test_an_opening_goes_to_an_upstream_of_its_route_and_is_marked() -> None:
     """Guard against flows of one service that reach another."""
     balancer = build.Balancer(SHEETS, FIRST)
-    assert balancer.send(build.build_segment()) == steering.Forward(FIRST, mark=True)
+    assert balancer.send(build.build_segment()) == segments.Forward(FIRST, mark=True)
 
 
 def test_any_balancer_carries_a_flow_by_its_token() -> None:
     """Guard against flows that break when the fabric moves them to another balancer."""
     balancer = build.Balancer(FIRST, SECOND)
     action = balancer.send(build.build_data(SECOND.token))
-    assert action == steering.Forward(SECOND, mark=False)
+    assert action == segments.Forward(SECOND, mark=False)
 
 
 def test_open_flows_follow_an_upstream_that_has_left_the_registry() -> None:
@@ -35,7 +42,7 @@
     balancer.register(leaving)
     balancer.remove(leaving, now=1.0)
     action = balancer.send(build.build_data(FIRST.token), 1.5)
-    assert action == steering.Forward(leaving, mark=False)
+    assert action == segments.Forward(leaving, mark=False)
 
 
 def test_an_open_flow_survives_the_removal_of_its_route() -> None:
@@ -44,7 +51,7 @@
     other = build.build_route(target=build.SHEETS_TARGET)
     balancer.steering.configure(build.build_configuration(2, other), 1.0)
     action = balancer.send(build.build_data(FIRST.token), 1.5)
-    assert action == steering.Forward(FIRST, mark=False)
+    assert action == segments.Forward(FIRST, mark=False)
 
 
 @pytest.mark.parametrize(
@@ -62,7 +69,7 @@
         balancer.steering.configuration = routing.EMPTY_CONFIGURATION
     else:
         balancer.register(FIRST._replace(draining=True))
-    assert balancer.send(segment) == steering.Refuse(setting)
+    assert balancer.send(segment) == segments.Refuse(setting)
     assert balancer.find_events("refused")[0]["reason"] == setting
 
 
@@ -87,9 +94,9 @@
     balancer = build.Balancer(FIRST, SECOND)
     upstream = balancer.open(now=0.0)
     copy = build.build_segment(copy=1)
-    assert balancer.send(copy, 0.05) == steering.Forward(upstream, mark=True)
+    assert balancer.send(copy, 0.05) == segments.Forward(upstream, mark=True)
     balancer.answer(upstream, now=0.06)
-    assert balancer.send(copy, 0.3) == steering.Forward(upstream, mark=True)
+    assert balancer.send(copy, 0.3) == segments.Forward(upstream, mark=True)
 
 
 def test_a_lost_opening_is_repeated_before_the_caller_does() -> None:
@@ -98,7 +105,7 @@
     upstream = balancer.open(now=0.0)
     balancer.tick(0.08)
     (order,) = balancer.take_orders()
-    assert order.action == steering.Forward(upstream, mark=True)
+    assert order.action == segments.Forward(upstream, mark=True)
     assert order.packet == b"packet"
 
 
@@ -108,7 +115,7 @@
     upstream = balancer.open(now=0.0)
     balancer.tick(0.14)
     moved = balancer.take_orders()[-1]
-    assert moved.action == steering.Forward(find_other(upstream), mark=True)
+    assert moved.action == segments.Forward(find_other(upstream), mark=True)
 
 
 def test_one_silent_opening_leads_to_a_probe_and_two_to_suspicion() -> None:
@@ -146,11 +153,11 @@
     balancer.answer(FIRST, 40000, now=0.01)
     balancer.send(build.build_segment(target=book.target), 0.02)
     balancer.send(build.build_data(FIRST.token, target=book.target), 0.03)
-    evidence = balancer.steering.outlooks[FIRST.name, 1]
+    evidence = balancer.steering.evidence.outlooks[FIRST.name, 1]
     evidence.doubt(0.4)
     balancer.steering.record_probe(FIRST, "refused", "no listener", 0.5)
     (order,) = balancer.take_orders()
-    assert isinstance(order.action, steering.Refuse)
+    assert isinstance(order.action, segments.Refuse)
     assert order.segment.target == check.target
     assert order.segment.acknowledged == 501
 
@@ -169,7 +176,7 @@
     balancer = build.Balancer(FIRST)
     balancer.open(now=0.0)
     balancer.answer(FIRST, now=0.01)
-    balancer.steering.outlooks[FIRST.name, 1].doubt(0.3)
+    balancer.steering.evidence.outlooks[FIRST.name, 1].doubt(0.3)
     balancer.steering.record_probe(FIRST, "silent", "timeout", 0.45)
     assert balancer.take_orders() == []
     balancer.steering.record_probe(FIRST, "silent", "timeout", 0.6)
@@ -181,14 +188,14 @@
     balancer = build.Balancer(FIRST)
     balancer.open(now=0.0)
     balancer.answer(FIRST, now=0.01)
-    balancer.steering.outlooks[FIRST.name, 1].suspect(True, 0.1)
+    balancer.steering.evidence.outlooks[FIRST.name, 1].suspect(True, 0.1)
     balancer.register(FIRST._replace(born_ms=2), now=0.2)
     restarted = balancer.open(40009, now=0.3)
-    evidence = balancer.steering.outlooks[restarted.name, 2]
+    evidence = balancer.steering.evidence.outlooks[restarted.name, 2]
     assert evidence.suspected_at is None
     assert evidence.outstanding == 1
     (order,) = balancer.take_orders()
-    assert isinstance(order.action, steering.Refuse)
+    assert isinstance(order.action, segments.Refuse)
 
 
 def test_new_flows_avoid_the_upstream_that_peers_keep_busy() -> None:
@@ -203,7 +210,7 @@
 def test_a_suspicion_of_another_zone_is_checked_before_it_counts() -> None:
     """Guard against a zone that is cut off and makes the others shun its hosts."""
     balancer = build.Balancer(FIRST)
-    balancer.steering.outlooks.clear()
+    balancer.steering.evidence.outlooks.clear()
     loads = (neighbours.UpstreamLoad(FIRST.token, 0, True),)
     report = build.build_report("front-9", zone="riga-c", loads=loads)
     balancer.steering.hear_peer(report, 1.0)
@@ -227,7 +234,7 @@
     balancer = build.Balancer(FIRST, SHEETS)
     assert balancer.steering.find_unserved() == []
     balancer.open(now=0.0)
-    balancer.steering.outlooks[FIRST.name, 1].suspect(True, 0.1)
+    balancer.steering.evidence.outlooks[FIRST.name, 1].suspect(True, 0.1)
     assert balancer.steering.find_unserved() == ["booking"]
 
 
@@ -244,7 +251,7 @@
             FIRST.token, caller=caller, sequence=1_201, acknowledged=900, closing=True
         )
         balancer.send(end, 0.04)
-    assert balancer.steering.outlooks[FIRST.name, 1].outstanding == 0
+    assert balancer.steering.evidence.outlooks[FIRST.name, 1].outstanding == 0
     assert balancer.latencies == pytest.approx([0.03] * 50)
     assert balancer.steering.flows == {}
     assert balancer.steering.waiting == {}
@@ -258,7 +265,7 @@
     loads = (neighbours.UpstreamLoad(FIRST.token, 200, False),)
     balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 0.0)
     action = balancer.send(build.build_segment(), 0.0)
-    assert action == steering.Refuse("booking is overloaded")
+    assert action == segments.Refuse("booking is overloaded")
 
 
 def test_openings_for_a_refusing_upstream_are_not_offered_to_others() -> None:
@@ -274,8 +281,12 @@
     balancer.steering.record_probe(upstream, "refused", "no listener", 0.085)
     balancer.tick(1.0)
     assert balancer.take_orders() == []
-    assert balancer.steering.outlooks[upstream.name, 1].suspected_at is not None
-    assert balancer.steering.outlooks[find_other(upstream).name, 1].strikes == 0
+    assert (
+        balancer.steering.evidence.outlooks[upstream.name, 1].suspected_at is not None
+    )
+    assert (
+        balancer.steering.evidence.outlooks[find_other(upstream).name, 1].strikes == 0
+    )
 
 
 def test_moved_openings_are_not_held_against_the_next_upstream() -> None:
@@ -286,13 +297,15 @@
     moves = len(balancer.find_events("placed")) - 1
     assert moves == steering.MOVES_MAX
     assert balancer.steering.waiting == {}
-    assert balancer.steering.outlooks[find_other(upstream).name, 1].strikes == 0
+    assert (
+        balancer.steering.evidence.outlooks[find_other(upstream).name, 1].strikes == 0
+    )
 
 
 def test_a_host_with_a_false_health_check_is_tried_again() -> None:
     """Guard against a healthy host that is lost because its health check fails."""
     balancer = build.Balancer(FIRST, SECOND)
-    evidence = balancer.steering.outlooks[FIRST.name, 1] = outlook.Outlook()
+    evidence = balancer.steering.evidence.outlooks[FIRST.name, 1] = outlook.Outlook()
     evidence.suspect(True, 0.0)
     balancer.tick(1.0)
     evidence.probing = False
