Hand the watch over when the store turns a watcher away

A fetch from one peer could take 2 s and the next one asked the same peer; with all watchers turned away nobody would have asked the store.

Ruled out: a machine out of touch (none was), a fall of the version (logs show none).

Now a balancer says in its reports that the store does not answer it, the next one of the zone takes the watch, a fetch ends after 0.5 s and another peer is asked.

--- a/src/pistachioshed/adapters/beliefs.py
+++ b/src/pistachioshed/adapters/beliefs.py
@@ -89,7 +89,11 @@
 
 
 async def fetch_beliefs(
-    connection: http1.Connection, revision: int, version: int, wait_s: float
+    connection: http1.Connection,
+    revision: int,
+    version: int,
+    wait_s: float,
+    timeout_s: float = REQUEST_TIMEOUT_S,
 ) -> Beliefs:
     """Ask a peer for what is newer than a revision and a version.
 
@@ -103,7 +107,7 @@
     )
     try:
         response = await connection.request(
-            "GET", f"{PATH}?{query}", wait_s + REQUEST_TIMEOUT_S
+            "GET", f"{PATH}?{query}", wait_s + timeout_s
         )
     except http1.HttpError as error:
         raise BeliefsError(str(error)) from error
--- a/src/pistachioshed/apps/following.py
+++ b/src/pistachioshed/apps/following.py
@@ -1,6 +1,8 @@
 """Where a forwarder gets its beliefs from: the store, or a peer that follows it."""
 
 import asyncio
+import math
+import random
 import typing
 from collections import abc
 
@@ -14,6 +16,10 @@
 ROLE_SETTLE_S: typing.Final = 0.8
 # A report overtakes the change itself by less.
 BEHIND_S: typing.Final = 0.3
+# A lost balancer that stopped watching asks the store again after this time at most.
+LOST_S: typing.Final = 3.0
+# A tenth of the users' bound of 3 s is left for each of several peers to ask.
+CATCH_UP_TIMEOUT_S: typing.Final = 0.5
 
 Address = tuple[str, int]
 StartTask = abc.Callable[
@@ -62,10 +68,20 @@
         self.clock = clock
         self.started_at = clock()
         self.watching: list[asyncio.Task[None]] = []
+        self.feeds: list[feed.Feed] = []
+        self.lost_at = -math.inf
         self.behind_since: float | None = None
         self.news = asyncio.Event()
         self.may_watch = asyncio.Event()
 
+    def is_lost(self, now: float) -> bool:
+        """Tell whether the store has lately not answered this balancer."""
+        if self.watching and any(each.lost for each in self.feeds):
+            self.lost_at = now
+        elif self.watching and all(each.following for each in self.feeds):
+            self.lost_at = -math.inf
+        return now - self.lost_at < LOST_S
+
     def take_change(self) -> None:
         """Pass news on to the peers that wait for them, and tell the process."""
         self.news.set()
@@ -74,12 +90,15 @@
     def start_watching(self) -> None:
         """Follow the store."""
         if not self.watching:
-            self.watching = [
-                self.start_task(
-                    self.follow("configuration", records.CONFIGURATION_KEY)
+            self.feeds = [
+                self.build_feed(
+                    "configuration", records.CONFIGURATION_KEY, self.take_configuration
+                ),
+                self.build_feed(
+                    "upstreams", records.UPSTREAMS_PREFIX, self.take_upstreams
                 ),
-                self.start_task(self.follow("upstreams", records.UPSTREAMS_PREFIX)),
             ]
+            self.watching = [self.start_task(each.run()) for each in self.feeds]
 
     def stop_watching(self) -> None:
         """Leave the store to the watchers of the zone."""
@@ -94,7 +113,7 @@
             await asyncio.sleep(ROLE_S)
             now = self.clock()
             if now - self.started_at > ROLE_SETTLE_S:
-                watchers = self.peers.list_watchers(now)
+                watchers = self.peers.list_watchers(self.is_lost(now), now)
                 should_watch = self.name in watchers
                 if should_watch:
                     self.may_watch.set()
@@ -139,7 +158,7 @@
     def find_watcher(self) -> neighbours.Report | None:
         """Return a live watcher of the zone; followers share them by their names."""
         now = self.clock()
-        names = self.peers.list_watchers(now)
+        names = self.peers.list_watchers(self.is_lost(now), now)
         live = [
             report
             for report in self.peers.list_live(now)
@@ -150,7 +169,11 @@
         return live[sum(self.name.encode()) % len(live)]
 
     async def fetch(
-        self, connection: http1.Connection, peer: str, wait_s: float
+        self,
+        connection: http1.Connection,
+        peer: str,
+        wait_s: float,
+        timeout_s: float = beliefs.REQUEST_TIMEOUT_S,
     ) -> None:
         """Take what a peer knows beyond this balancer's beliefs."""
         decisions = self.decisions
@@ -159,6 +182,7 @@
             decisions.directory.revision,
             decisions.configuration.version,
             wait_s,
+            timeout_s,
         )
         self.count("belief_fetches", peer=peer)
         beliefs.apply_beliefs(decisions, newest, self.clock())
@@ -171,10 +195,10 @@
 
     async def catch_up(self, now: float) -> None:
         """Ask a peer that has known more for some time, whatever the own source."""
-        newer = self.peers.find_newer(
+        choices = self.peers.list_newer(
             self.decisions.directory.changed, self.decisions.configuration.version, now
         )
-        if newer is None:
+        if not choices:
             self.behind_since = None
             return
         if self.behind_since is None:
@@ -182,6 +206,8 @@
         if now - self.behind_since < BEHIND_S:
             return
         self.behind_since = None
+        # Another one each time, in case one of them does not answer.
+        newer = random.choice(choices)
         jsonlog.log_event(
             "catches up",
             peer=newer.name,
@@ -190,7 +216,7 @@
         )
         connection = http1.Connection(newer.address)
         try:
-            await self.fetch(connection, newer.name, 0.0)
+            await self.fetch(connection, newer.name, 0.0, CATCH_UP_TIMEOUT_S)
         except beliefs.BeliefsError as error:
             self.note_fetch_failure(newer.name, error)
         finally:
@@ -224,22 +250,16 @@
             or self.decisions.configuration.version > version
         )
 
-    async def follow(self, name: str, prefix: str) -> None:
-        """Follow one prefix of the store."""
-        deliver = {
-            "configuration": self.take_configuration,
-            "upstreams": self.take_upstreams,
-        }[name]
-        client = storeclient.StoreClient(self.store_address)
-        follower = feed.Feed(
+    def build_feed(self, name: str, prefix: str, deliver: feed.Deliver) -> feed.Feed:
+        """Return a feed of one prefix of the store."""
+        return feed.Feed(
             name,
             prefix,
-            client,
+            storeclient.StoreClient(self.store_address),
             deliver,
             lambda call: self.count("store_calls", call=call),
             self.may_watch,
         )
-        await follower.run()
 
     def take_configuration(self, batch: store.WatchBatch) -> None:
         """Put the newest configuration of a batch in force."""
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -248,6 +248,7 @@
             self.start_ms,
             self.sequence,
             bool(self.following.watching),
+            self.following.is_lost(now),
             self.presence.state == "leaving",
             self.settings.capacity,
             self.decisions.directory.changed,
--- a/src/pistachioshed/core/neighbours.py
+++ b/src/pistachioshed/core/neighbours.py
@@ -31,7 +31,8 @@
     """What a balancer tells its peers of itself.
 
     `start_ms` orders the incarnations of one balancer and `sequence` its reports.
-    `watches` tells whether it follows the store itself; `capacity` is that of its link
+    `watches` tells whether it follows the store itself, `lost` whether the store has
+    lately not answered it; `capacity` is that of its link
     in Mbit/s. `upstreams_changed` is the revision of the last change that it knows.
     """
 
@@ -41,6 +42,7 @@
     start_ms: int
     sequence: int
     watches: bool
+    lost: bool
     leaving: bool
     capacity: float
     upstreams_changed: int
@@ -151,28 +153,31 @@
             chosen += (addresses[start:] + addresses[:start])[:most]
         return chosen
 
-    def list_watchers(self, now: float) -> list[str]:
-        """Return the balancers of the zone that should follow the store, best first."""
+    def list_watchers(self, lost: bool, now: float) -> list[str]:
+        """Return the balancers of the zone that should follow the store, best first.
+
+        The store may turn single machines away, so that those that it does not answer
+        come last; `lost` tells whether this balancer is one.
+        """
         live = [report for report in self.list_live(now) if not report.leaving]
-        ranked = [(-self.capacity, self.name)]
+        ranked = [(lost, -self.capacity, self.name)]
         ranked += [
-            (-report.capacity, report.name)
+            (report.lost, -report.capacity, report.name)
             for report in live
             if report.zone == self.zone
         ]
         alone = all(report.zone == self.zone for report in live)
         most = WATCHERS_ALONE if alone else WATCHERS
-        return [name for _, name in sorted(ranked)[:most]]
+        return [name for _, _, name in sorted(ranked)[:most]]
 
-    def find_newer(self, changed: int, version: int, now: float) -> Report | None:
-        """Return a live peer's report that shows newer beliefs than these."""
-        newer = [
+    def list_newer(self, changed: int, version: int, now: float) -> list[Report]:
+        """Return the reports of live peers that show newer beliefs than these."""
+        return [
             report
             for report in self.list_live(now)
             if report.upstreams_changed > changed
             or report.configuration_version > version
         ]
-        return max(newer, key=_rank_beliefs, default=None)
 
     def find_silent_zones(self, now: float) -> set[str]:
         """Return the zones of which every known peer fell silent at once.
@@ -198,7 +203,3 @@
                 self.loads[entry.token] = total
             else:
                 self.loads.pop(entry.token, None)
-
-
-def _rank_beliefs(report: Report) -> tuple[int, int]:
-    return report.configuration_version, report.upstreams_changed
--- a/tests/forwarderfleet.py
+++ b/tests/forwarderfleet.py
@@ -14,7 +14,7 @@
 from pistachioshed.apps import forwarder, forwarderoptions
 from pistachioshed.core import segments
 from pistachioshed.platform import packets
-from standins import metadatastore
+from standins import loopbackproxy, metadatastore
 
 CALLER_IP: typing.Final = "127.0.0.99"
 TARGET: typing.Final = ("198.18.0.1", 443)
@@ -144,6 +144,8 @@
         self.folder = folder
         self.store = metadatastore.MetadataStore()
         self.store_address = ("", 0)
+        self.store_addresses: dict[int, tuple[str, int]] = {}
+        self.proxies: list[loopbackproxy.LoopbackProxy] = []
         self.port = find_port()
         self.peers_port = find_port()
         self.http_port = find_port()
@@ -155,6 +157,13 @@
         """Start the store."""
         self.store_address = await self.store.start()
 
+    async def add_proxy(self, number: int) -> loopbackproxy.LoopbackProxy:
+        """Put a proxy between the store and a forwarder that starts later."""
+        proxy = loopbackproxy.LoopbackProxy(self.store_address)
+        self.store_addresses[number] = await proxy.start("127.0.0.1")
+        self.proxies.append(proxy)
+        return proxy
+
     async def start_forwarder(self, number: int) -> forwarder.Forwarder:
         """Start a forwarder of which the first one is the seed."""
         ip = f"127.0.1.{number}"
@@ -166,7 +175,7 @@
             (ip, self.http_port),
             (ip, self.peers_port),
             (ip, self.http_port + 1),
-            self.store_address,
+            self.store_addresses.get(number, self.store_address),
             ("127.0.1.1",),
             3.0,
             10.0,
@@ -194,6 +203,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         if self.store.server is not None:
             self.store.server.close()
+        for proxy in self.proxies:
+            if proxy.server is not None:
+                proxy.server.close()
         for inbox in self.inboxes:
             inbox.sock.close()
         self.stack.close()
--- a/tests/steeringbuilders.py
+++ b/tests/steeringbuilders.py
@@ -86,6 +86,7 @@
         start_ms=1,
         sequence=1,
         watches=True,
+        lost=False,
         leaving=False,
         capacity=1.0,
         upstreams_changed=1,
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -189,3 +189,34 @@
             assert b"pistachioshed_forwarder_store_calls_total" in response.body
 
     asyncio.run(scenario())
+
+
+def test_a_forwarder_that_the_store_answers_takes_over_the_watch(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against changes that nobody sees because the watchers are turned away."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            proxies = [await fleet.add_proxy(number) for number in (1, 2)]
+            forwarders = [await fleet.start_forwarder(number) for number in (1, 2, 3)]
+            third = forwarders[2]
+            await forwarderfleet.wait_until(
+                lambda: (
+                    third.presence.state == "serving" and not third.following.watching
+                )
+            )
+            for proxy in proxies:
+                proxy.set_harm("reset")
+            await asyncio.sleep(0.5)
+            newer = forwarderfleet.encode_configuration(2, ("sheets", "booking"))
+            fleet.store.put("op/config", newer)
+            written_at = asyncio.get_running_loop().time()
+            await forwarderfleet.wait_until(
+                lambda: all(
+                    each.decisions.configuration.version == 2 for each in forwarders
+                )
+            )
+            assert asyncio.get_running_loop().time() - written_at < 3.0
+
+    asyncio.run(scenario())
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -61,8 +61,8 @@
     ):
         report = build.build_report(name, capacity=capacity, leaving=leaving)
         peers.record(report, 0.0)
-    assert peers.list_watchers(0.1) == ["front-2", "front-1"]
-    assert peers.list_watchers(5.0) == ["front-1"]
+    assert peers.list_watchers(False, 0.1) == ["front-2", "front-1"]
+    assert peers.list_watchers(False, 5.0) == ["front-1"]
 
 
 def test_a_zone_with_others_beside_it_has_one_watcher() -> None:
@@ -71,7 +71,7 @@
     peers.record(build.build_report("front-2", capacity=200.0), 0.0)
     other = build.build_report("front-9", zone="riga-b", capacity=500.0)
     peers.record(other, 0.0)
-    assert peers.list_watchers(0.1) == ["front-2"]
+    assert peers.list_watchers(False, 0.1) == ["front-2"]
 
 
 def test_reports_of_a_large_fleet_have_a_bounded_number_of_recipients() -> None:
@@ -105,5 +105,19 @@
     peers.record(build.build_report("front-2", upstreams_changed=4), 0.0)
     newest = build.build_report("front-3", configuration_version=3)
     peers.record(newest, 0.0)
-    assert peers.find_newer(4, 3, 0.1) is None
-    assert peers.find_newer(4, 2, 0.1) == newest
+    assert peers.list_newer(4, 3, 0.1) == []
+    assert peers.list_newer(4, 2, 0.1) == [newest]
+
+
+def test_balancers_that_the_store_turns_away_do_not_watch_it() -> None:
+    """Guard against a fleet whose every watcher is turned away.
+
+    Hunt of `zlk-lisovna`, trouble-1, seed 206930314405: three of four watchers were.
+    """
+    peers = build_neighbours()
+    peers.record(build.build_report("front-0", zone="riga-b"), 0.0)
+    peers.record(build.build_report("front-2"), 0.0)
+    assert peers.list_watchers(False, 0.1) == ["front-1"]
+    assert peers.list_watchers(True, 0.1) == ["front-2"]
+    peers.record(build.build_report("front-2", sequence=2, lost=True), 0.1)
+    assert peers.list_watchers(True, 0.2) == ["front-1"]
