--- a/src/pistachioshed/core/selection.py
+++ b/src/pistachioshed/core/selection.py
@@ -13,6 +13,9 @@
 JITTER: typing.Final = 0.1
 # The users' tables: an upstream that has just started takes 1.6 times as long.
 COLD_FACTOR: typing.Final = 1.6
+# Share of a request's latency that a busy slot costs while another one is free: spreads
+# requests over idle upstreams, and stays below the cost of waiting.
+BUSY_SLOT_COST: typing.Final = 0.25
 
 
 class Tier(typing.NamedTuple):
@@ -47,8 +50,7 @@
     slowness = candidate.slowness * (COLD_FACTOR if candidate.cold else 1.0)
     ahead = max(0, candidate.outstanding + 1 - slots)
     cost = slowness * (1.0 + ahead / slots)
-    # Spreads requests over idle upstreams before any of them has a full set.
-    cost += 0.25 * slowness * min(candidate.outstanding, slots - 1) / slots
+    cost += BUSY_SLOT_COST * slowness * min(candidate.outstanding, slots - 1) / slots
     if candidate.upstream.zone != zone:
         cost += OTHER_ZONE_COST
     return cost
--- a/src/pistachioshed/core/steering.py
+++ b/src/pistachioshed/core/steering.py
@@ -38,8 +38,9 @@
 PAUSE_S: typing.Final = 0.1
 # One connection may be lost; with two in a row and silent flows the host is gone.
 PROBES_SILENT: typing.Final = 2
+# Twenty responses outweigh what was known; a route has about ten a second.
 LATENCY_GAIN: typing.Final = 0.05
-SWEEP_INTERVAL_S: typing.Final = 0.5
+SWEEP_INTERVAL_S: typing.Final = 0.5  # A third of the users' shortest time limit.
 FLOWS_MAX: typing.Final = 100_000  # About 30 MB; a machine of the users has 114 MB.
 SEQUENCE_RANGE: typing.Final = 2**32
 HALF_SEQUENCE_RANGE: typing.Final = 2**31
