--- a/src/pistachioshed/adapters/feed.py
+++ b/src/pistachioshed/adapters/feed.py
@@ -8,8 +8,7 @@
 from pistachioshed.adapters import jsonlog
 from pistachioshed.ports import store
 
-# Counted calls: 6 an hour and machine would do, but a call also shows that the store
-# is there. Below the platform's bound of 30 s.
+# A waiting call is counted once. Below the platform's bound of 30 s.
 WAIT_S: typing.Final = 20.0
 # Changes of a release come in groups; one call brings a group.
 GATHER_S: typing.Final = 0.2
--- a/src/pistachioshed/core/segments.py
+++ b/src/pistachioshed/core/segments.py
@@ -42,7 +42,11 @@
 
 
 class Refuse(typing.NamedTuple):
-    """Reset the flow: its opening was not handed to any upstream that took it."""
+    """Reset the flow.
+
+    Before the flow is open this means that its request has not run; on an open flow it
+    says nothing about the request.
+    """
 
     reason: str
 
