Take a zone as cut off only when its upstreams are silent too; keep seeds

After 30 s of partition both sides forgot each other's addresses, seeds included, and never found each other again. A health check whose service left the configuration in the same moment failed and left its upstream without further probes. A flow that moved to an earlier upstream was counted as waiting although its response had come.

Ruled out: more peers a zone to judge by; a zone with one balancer has none.

--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -37,7 +37,6 @@
 # that callers try another balancer.
 START_GRACE_S: typing.Final = 0.3
 SETTINGS_POLL_S: typing.Final = 2.0
-STATUS_S: typing.Final = 10.0
 
 Address = tuple[str, int]
 
@@ -144,6 +143,10 @@
             task.cancel()
         for server in servers:
             server.close()
+        loop.remove_reader(self.plane.sock)
+        loop.remove_reader(self.reports.sock)
+        self.plane.close()
+        self.reports.close()
         jsonlog.log_event("stopped", dropped_lines=self.count_dropped())
 
     def start_task(
@@ -214,8 +217,10 @@
 
     def tick(self, now: float) -> None:
         """Judge silence, start probes, report to the peers, end a stop."""
+        services = self.decisions.configuration.services
         for upstream in self.decisions.tick(now):
-            self.start_task(self.probe(upstream))
+            path = services[upstream.service].health_path
+            self.start_task(self.probe(upstream, path))
         self.plane.carry_out_orders()
         unserved = self.decisions.find_unserved()
         if unserved != self.unserved:
@@ -265,15 +270,12 @@
             jsonlog.log_event("peer found", peer=report.name, peer_zone=report.zone)
         self.decisions.hear_peer(report, self.clock())
 
-    async def probe(self, upstream: directory.Upstream) -> None:
-        """Ask a suspected upstream for its health."""
-        limits = self.decisions.configuration.services[upstream.service]
+    async def probe(self, upstream: directory.Upstream, path: str) -> None:
+        """Ask an upstream for its health."""
         connection = http1.Connection(upstream.address, PROBE_CONNECT_S)
         outcome: segments.ProbeOutcome
         try:
-            response = await connection.request(
-                "GET", limits.health_path, PROBE_TIMEOUT_S
-            )
+            response = await connection.request("GET", path, PROBE_TIMEOUT_S)
         except http1.HttpError as error:
             detail = str(error)
             outcome = "busy" if error.connected else "silent"
@@ -328,7 +330,7 @@
             faults = [str(fault) for fault in group.exceptions]
             jsonlog.log_failure("reload refused", faults=faults)
             return
-        self.peers.add_addresses(self.list_seeds(settings), self.clock())
+        self.peers.add_seeds(self.list_seeds(settings))
         changed = [
             field
             for field, old, new in zip(
--- a/src/pistachioshed/core/directory.py
+++ b/src/pistachioshed/core/directory.py
@@ -35,10 +35,7 @@
 
 
 class Change(typing.NamedTuple):
-    """One change of the registry; `upstream` is None when it was removed or unusable.
-
-    `lapsed` is set when the entry was removed without a notice of leaving.
-    """
+    """One change of the registry; `upstream` is None if there is none to use."""
 
     name: str
     upstream: Upstream | None
@@ -57,7 +54,7 @@
 
     name: str
     outcome: typing.Literal[
-        "added", "changed", "restarted", "lapsed", "removed", "ignored", "conflict"
+        "added", "changed", "restarted", "lapsed", "removed", "conflict"
     ]
     revision: int
 
--- a/src/pistachioshed/core/evidence.py
+++ b/src/pistachioshed/core/evidence.py
@@ -96,27 +96,56 @@
                 upstreams=self.directory.revision,
             )
 
+    def find_cut_zones(self, silent_zones: abc.Iterable[str], since: float) -> set[str]:
+        """Return the silent zones of which no upstream was heard of since a time."""
+        heard = {
+            upstream.zone
+            for incarnation, known in self.outlooks.items()
+            if known.answered_at >= since
+            and (upstream := self._find_current(incarnation)) is not None
+        }
+        return set(silent_zones) - heard
+
+    def list_zone_probes(
+        self, silent_zones: abc.Iterable[str], services: abc.Container[str], now: float
+    ) -> list[directory.Upstream]:
+        """Return an upstream of each silent zone to probe, if it is time for one.
+
+        Their balancers are silent; the probe shows whether the zone is cut off.
+        """
+        due = []
+        for zone in silent_zones:
+            members = [
+                (self.find(upstream).probed_at, upstream)
+                for upstream in self.directory.upstreams.values()
+                if upstream.zone == zone and upstream.service in services
+            ]
+            if members and now - max(members)[0] >= PROBE_INTERVAL_S:
+                _, upstream = min(members)
+                self._start_probe(upstream, now)
+                due.append(upstream)
+        return due
+
     def list_probes(
-        self, silent_zones: abc.Container[str], services: abc.Container[str], now: float
+        self, cut_zones: abc.Container[str], services: abc.Container[str], now: float
     ) -> list[directory.Upstream]:
-        """Return the upstreams to probe now, outside of silent zones."""
+        """Return the upstreams to probe now, outside of zones that are cut off."""
         due = []
         for incarnation, known in self.outlooks.items():
             upstream = self._find_current(incarnation)
             if upstream is None or upstream.draining:
                 continue
-            if upstream.zone in silent_zones:
+            if upstream.zone in cut_zones:
                 continue
             if upstream.service not in services:
                 continue
             doubted = known.doubted_at > known.probed_at
             waited = now - known.probed_at >= PROBE_INTERVAL_S
-            again = known.silent_probes == 1 and not known.probing
+            again = known.silent_probes == 1
             if not known.probing and (
                 doubted or again or (known.suspected_at is not None and waited)
             ):
-                known.probing = True
-                known.probed_at = now
+                self._start_probe(upstream, now)
                 due.append(upstream)
         return due
 
@@ -126,6 +155,11 @@
             if self._find_current(incarnation) is None:
                 del self.outlooks[incarnation]
 
+    def _start_probe(self, upstream: directory.Upstream, now: float) -> None:
+        known = self.find(upstream)
+        known.probing = True
+        known.probed_at = now
+
     def _find_current(self, incarnation: Incarnation) -> directory.Upstream | None:
         """Return the registered upstream, unless it has started anew since."""
         upstream = self.directory.upstreams.get(incarnation[0])
--- a/src/pistachioshed/core/neighbours.py
+++ b/src/pistachioshed/core/neighbours.py
@@ -65,6 +65,7 @@
     """Peers by name, the sum of their loads, and the zones that answer.
 
     `addresses` holds where reports are sent, also before the first one is received.
+    `seeds` are never forgotten, so that the sides of a long partition find each other.
     """
 
     def __init__(
@@ -77,17 +78,15 @@
         self.name = name
         self.capacity = capacity
         self.zone = zone
-        self.addresses: dict[tuple[str, int], float] = dict.fromkeys(seeds, 0.0)
+        self.seeds = set(seeds)
+        self.addresses = set(self.seeds)
         self.peers: dict[str, Peer] = {}
         self.loads: dict[int, int] = {}
 
-    def add_addresses(
-        self, addresses: abc.Iterable[tuple[str, int]], now: float
-    ) -> None:
-        """Add addresses to send reports to."""
-        for address in addresses:
-            if len(self.addresses) < PEERS_MAX:
-                self.addresses.setdefault(address, now)
+    def add_seeds(self, seeds: abc.Iterable[tuple[str, int]]) -> None:
+        """Add addresses to send reports to for as long as this process runs."""
+        self.seeds.update(seeds)
+        self.addresses.update(self.seeds)
 
     def record(self, report: Report, now: float) -> bool:
         """Take a report; return False if a newer one of that peer is known."""
@@ -106,8 +105,9 @@
                 return False
             self.peers[report.name] = Peer(report, now)
         self._add_loads(report.loads, 1)
-        self.addresses[report.address] = now
-        self.add_addresses(report.peers, now)
+        for address in (report.address, *report.peers):
+            if len(self.addresses) < PEERS_MAX:
+                self.addresses.add(address)
         return True
 
     def expire(self, now: float) -> list[str]:
@@ -121,7 +121,8 @@
             if silent_s > FORGET_AFTER_S:
                 del self.peers[name]
                 forgotten.append(name)
-                self.addresses.pop(peer.report.address, None)
+                if peer.report.address not in self.seeds:
+                    self.addresses.discard(peer.report.address)
         return forgotten
 
     def count_outstanding(self, token: int) -> int:
@@ -180,10 +181,10 @@
         ]
 
     def find_silent_zones(self, now: float) -> set[str]:
-        """Return the zones of which every known peer fell silent at once.
+        """Return the other zones of which no peer has been heard of lately.
 
-        One silent peer of a zone with no other is more likely to have died, unless
-        the zone has no other peer at all.
+        They may be cut off, or their balancers may have died while their upstreams
+        live on.
         """
         newest: dict[str, float] = {}
         for peer in self.peers.values():
--- a/src/pistachioshed/core/outlook.py
+++ b/src/pistachioshed/core/outlook.py
@@ -26,7 +26,8 @@
 
     `outstanding` counts the requests that this balancer sent it and that have no
     response yet. `slowness` is the typical latency of its responses as a ratio to that
-    of all upstreams of the service. `heard_at` is the time of its last sign of life;
+    of all upstreams of the service. `heard_at` is the time of its last sign of life on
+    a flow and `answered_at` that of the last one at all;
     `suspected_at` when silence was last held against it, None while it is trusted.
     `strikes` counts the flows that fell silent since, `doubted_at` is when one
     last did. `own` tells whether the suspicion rests on own evidence and
@@ -36,6 +37,7 @@
     """
 
     __slots__ = (
+        "answered_at",
         "doubted_at",
         "heard_at",
         "hold_s",
@@ -56,6 +58,7 @@
         self.outstanding = 0
         self.slowness = 1.0
         self.heard_at = -math.inf
+        self.answered_at = -math.inf
         self.suspected_at: float | None = None
         self.own = False
         self.trusted_at = -math.inf
@@ -70,7 +73,7 @@
 
     def record_life(self, now: float) -> bool:
         """Note a sign of life; return whether that ended a suspicion."""
-        self.heard_at = now
+        self.heard_at = self.answered_at = now
         self.strikes = 0
         if self.suspected_at is None:
             return False
--- a/src/pistachioshed/core/steering.py
+++ b/src/pistachioshed/core/steering.py
@@ -89,7 +89,7 @@
         self.ticked_at = 0.0
         self.swept_at = 0.0
         self.judge_from = 0.0
-        self.silent_zones: set[str] = set()
+        self.cut_zones: set[str] = set()
         self.orders: list[segments.Order] = []
 
     def handle(
@@ -127,7 +127,7 @@
         for update in self.directory.apply(changes, revision, snapshot, now):
             self._record_update(update)
             if update.outcome == "restarted":
-                self._abandon(update.name, "its upstream has restarted", now)
+                self._abandon(update.name, "its upstream has restarted")
 
     def hear_peer(self, report: neighbours.Report, now: float) -> bool:
         """Take a peer's report; return False if it is an old one."""
@@ -154,10 +154,8 @@
         self.ticked_at = now
         for name in self.peers.expire(now):
             self.record("peer forgotten", peer=name)
-        silent = self.peers.find_silent_zones(now)
-        if silent != self.silent_zones:
-            self.silent_zones = silent
-            self.record("silent zones", zones=sorted(silent))
+        silent_zones = self.peers.find_silent_zones(now)
+        self._judge_zones(silent_zones, now)
         self._judge_openings(now)
         if now - self.waited_at >= WAITING_INTERVAL_S:
             self.waited_at = now
@@ -167,9 +165,11 @@
         if now - self.swept_at >= SWEEP_INTERVAL_S:
             self.swept_at = now
             self._sweep(now)
-        return self.evidence.list_probes(
-            self.silent_zones, self.configuration.services, now
-        )
+        services = self.configuration.services
+        return [
+            *self.evidence.list_probes(self.cut_zones, services, now),
+            *self.evidence.list_zone_probes(silent_zones, services, now),
+        ]
 
     def record_probe(
         self,
@@ -182,6 +182,8 @@
         known = self.evidence.find(upstream)
         since = known.suspected_at
         known.probing = False
+        if outcome not in ("silent", "refused"):
+            known.answered_at = now
         if known.record_probe(outcome == "passed", outcome == "silent", now):
             self.record(
                 "upstream trusted",
@@ -194,10 +196,10 @@
             return
         self.evidence.suspect(upstream, known, detail, now)
         if outcome == "refused":
-            self._abandon(upstream.name, "its upstream has ended", now)
+            self._abandon(upstream.name, "its upstream has ended")
         elif outcome == "silent" and known.silent_probes >= PROBES_SILENT:
-            if upstream.zone not in self.silent_zones:
-                self._abandon(upstream.name, "its upstream is silent", now)
+            if upstream.zone not in self.cut_zones:
+                self._abandon(upstream.name, "its upstream is silent")
 
     def find_unserved(self) -> list[str]:
         """Return the routed services of which every upstream is silent."""
@@ -348,7 +350,7 @@
             selection.Tier(
                 tried.count(upstream.name),
                 known.suspected_at is not None and not known.may_try(now),
-                upstream.zone in self.silent_zones,
+                upstream.zone in self.cut_zones,
                 upstream.name in self.directory.lapsed_at,
             ),
         )
@@ -371,9 +373,11 @@
         if flow is not None:
             if upstream.token != flow.upstream.token:
                 # An earlier upstream answered after all, and the caller took it.
+                was_counted = flow.counted
                 self._uncount(flow)
                 flow.upstream = upstream
-                self._count(flow)
+                if was_counted:
+                    self._count(flow)
             self._observe(key, flow, segment, now)
         return segments.Forward(upstream, mark=False)
 
@@ -420,7 +424,7 @@
             self.evidence.note_silence(
                 flow.upstream, flow.asked_at, "repeated data", now
             )
-            unreachable = flow.upstream.zone in self.silent_zones
+            unreachable = flow.upstream.zone in self.cut_zones
             if unreachable and flow.route.kind != "unsafe":
                 self._give_up(key, flow, "its upstream can not be reached")
 
@@ -442,6 +446,14 @@
             # With more in progress the latency is that of the queue.
             known.record_latency(latency_s / max(typical_s, 0.001))
 
+    def _judge_zones(self, silent_zones: set[str], now: float) -> None:
+        """Take a zone as cut off when neither balancers nor upstreams answer."""
+        since = now - neighbours.SILENT_AFTER_S
+        cut_zones = self.evidence.find_cut_zones(silent_zones, since)
+        if cut_zones != self.cut_zones:
+            self.cut_zones = cut_zones
+            self.record("zones cut off", zones=sorted(cut_zones))
+
     def _judge_openings(self, now: float) -> None:
         """Hold openings against silent upstreams; repeat them, then move them.
 
@@ -489,7 +501,7 @@
     ) -> None:
         self.orders.append(segments.Order(action, flow.segment, flow.packet))
 
-    def _abandon(self, name: str, reason: str, now: float) -> None:
+    def _abandon(self, name: str, reason: str) -> None:
         """Give up the flows of an upstream that is known to have ended.
 
         Callers may repeat these requests, and are told at once instead of at their
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -48,7 +48,7 @@
     peers = build_neighbours()
     peers.record(build.build_report("front-2"), 0.0)
     assert peers.expire(neighbours.FORGET_AFTER_S + 1) == ["front-2"]
-    assert peers.addresses == {}
+    assert peers.addresses == set()
 
 
 def test_watchers_are_the_live_balancers_with_the_largest_links() -> None:
@@ -121,3 +121,13 @@
     assert peers.list_watchers(True, 0.1) == ["front-2"]
     peers.record(build.build_report("front-2", sequence=2, lost=True), 0.1)
     assert peers.list_watchers(True, 0.2) == ["front-1"]
+
+
+def test_seeds_outlast_a_partition() -> None:
+    """Guard against two sides of a long partition that never find each other again."""
+    seed = ("10.2.0.1", 7720)
+    peers = neighbours.Neighbours("front-1", "riga-a", (seed,))
+    peers.record(build.build_report("front-2", zone="riga-b", address=seed), 0.0)
+    peers.record(build.build_report("front-3", address=("10.1.0.3", 7720)), 0.0)
+    assert len(peers.expire(neighbours.FORGET_AFTER_S + 1)) == 2
+    assert peers.list_recipients(1) == [seed]
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -224,7 +224,7 @@
     report = build.build_report("front-9", zone="riga-b")
     balancer.steering.hear_peer(report, 0.0)
     balancer.tick(1.0)
-    assert balancer.steering.silent_zones == {"riga-b"}
+    assert balancer.steering.cut_zones == {"riga-b"}
     placed = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
     assert placed == {FIRST}
 
@@ -317,3 +317,37 @@
     assert tried.count(FIRST) == 1
     balancer.answer(FIRST, 41000 + tried.index(FIRST), now=later + 0.01)
     assert evidence.suspected_at is None
+
+
+def test_the_death_of_a_zones_only_balancer_does_not_cut_its_upstreams_off() -> None:
+    """Guard against healthy hosts that are shunned because a balancer beside them died.
+
+    A zone of the users has a single balancer, and three hosts of one service.
+    """
+    balancer = build.Balancer(FIRST, SECOND)
+    report = build.build_report("front-9", zone="riga-b")
+    balancer.steering.hear_peer(report, 0.0)
+    probed = balancer.tick(1.0)
+    assert SECOND in probed
+    balancer.steering.record_probe(SECOND, "passed", "status 200", 1.0)
+    balancer.tick(1.1)
+    assert balancer.steering.cut_zones == set()
+    loads = (neighbours.UpstreamLoad(FIRST.token, 5, False),)
+    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 1.1)
+    assert balancer.open(now=1.1) == SECOND
+
+
+def test_a_zone_that_is_cut_off_is_asked_from_time_to_time() -> None:
+    """Guard against a zone that stays shunned after the cut, and too many probes."""
+    balancer = build.Balancer(FIRST, SECOND)
+    balancer.steering.hear_peer(build.build_report("front-9", zone="riga-b"), 0.0)
+    probes = 0
+    for step in range(1, 500):
+        for upstream in balancer.tick(step * 0.02):
+            probes += 1
+            balancer.steering.record_probe(upstream, "silent", "timeout", step * 0.02)
+    assert balancer.steering.cut_zones == {"riga-b"}
+    assert 15 <= probes <= 21
+    balancer.steering.record_probe(SECOND, "passed", "status 200", 10.0)
+    balancer.tick(10.1)
+    assert balancer.steering.cut_zones == set()
