Judge the soak by harms at the time, and the configuration in force

The check of leaving hosts compared each arrival with the last harm of the whole run, so that a late harm hid earlier violations. A route comes and goes with the versions: openings by a removed one and refusals of a present one are violations.

--- /dev/null
+++ b/standins/operatorrecords.py
@@ -0,0 +1,71 @@
+"""What operators and hosts write to the metadata store, for stand-ins and tests."""
+
+import typing
+from collections import abc
+
+import msgspec
+
+from pistachioshed.platform import packets, records
+
+CONFIGURATION_KEY: typing.Final = records.CONFIGURATION_KEY
+
+Target = tuple[str, int]
+"""IPv4 address and port that callers open flows to."""
+
+
+def parse_target(target: Target) -> tuple[int, int]:
+    """Return a target as packets hold it."""
+    return packets.parse_ip(target[0]), target[1]
+
+
+def get_entry_key(name: str) -> str:
+    """Return the key of a host's entry."""
+    return records.UPSTREAMS_PREFIX + name
+
+
+def encode_entry(address: tuple[str, int], **changes: typing.Any) -> bytes:
+    """Return the entry of a host of booking."""
+    entry = {
+        "service": "booking",
+        "address": f"{address[0]}:{address[1]}",
+        "zone": "riga-a",
+        "slots": 2,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return msgspec.json.encode(entry | changes)
+
+
+def encode_configuration(
+    version: int,
+    targets: abc.Mapping[Target, str],
+    services: abc.Iterable[str] = ("booking", "sheets"),
+) -> bytes:
+    """Return a configuration with one route from each target to its service."""
+    routes = [
+        {
+            "name": f"r-{ip}-{port}",
+            "host": ip,
+            "prefix": f"/{port}/",
+            "kind": "safe",
+            "timeout-ms": 1500,
+            "target-latency-ms": 150,
+            "priority": 2,
+            "service": service,
+        }
+        for (ip, port), service in targets.items()
+    ]
+    entries = [
+        {"name": name, "health-path": "/health", "connection-limit": 2000}
+        for name in services
+    ]
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": routes,
+            "services": entries,
+            "limits": {"idle-timeout-ms": 15000},
+        }
+    )
--- a/standins/packetflows.py
+++ b/standins/packetflows.py
@@ -24,7 +24,10 @@
 
 
 class Packet(typing.NamedTuple):
-    """A packet in both directions; `source` and `target` are address and port."""
+    """A packet in both directions; `source` and `target` are address and port.
+
+    `sender` is the machine that it arrived from.
+    """
 
     source: tuple[int, int]
     target: tuple[int, int]
@@ -33,6 +36,7 @@
     token: int
     flags: int
     data: bytes = b""
+    sender: str = ""
 
 
 def encode(packet: Packet) -> bytes:
@@ -52,8 +56,8 @@
     return head + packet.data
 
 
-def decode(data: bytes) -> Packet:
-    """Read a packet."""
+def decode(data: bytes, sender: str) -> Packet:
+    """Read a packet that arrived from a machine."""
     fields = packets.HEADER.unpack_from(data)
     sequence, acknowledged, token, _, sport, dport, dst, src, flags, _ = fields
     return Packet(
@@ -64,6 +68,7 @@
         token,
         flags,
         data[packets.HEADER.size :],
+        sender,
     )
 
 
@@ -77,6 +82,14 @@
     at: float
 
 
+class Refusal(typing.NamedTuple):
+    """An opening that a forwarder reset, and when its caller learned of it."""
+
+    forwarder: str
+    target: tuple[int, int]
+    at: float
+
+
 class Host(asyncio.DatagramProtocol):
     """A host of one service; it runs each flow's request once and answers it.
 
@@ -111,7 +124,7 @@
         number = int.from_bytes(data[:8], "big")
         if self.silent or number not in (0, self.number):
             return
-        packet = decode(data[8:])
+        packet = decode(data[8:], source[0])
         key = (*packet.source, *packet.target)
         if packet.flags & packets.FLAG_OPENING:
             if key not in self.flows:
@@ -195,7 +208,10 @@
 class Caller(asyncio.DatagramProtocol):
     """One caller's machine: opens a flow a request, all on one socket."""
 
-    def __init__(self, ip: str, routers: Routers, draw: random.Random) -> None:
+    def __init__(
+        self, ip: str, routers: Routers, refusals: list[Refusal], draw: random.Random
+    ) -> None:
+        self.refusals = refusals
         self.ip = packets.parse_ip(ip)
         self.routers = routers
         self.draw = draw
@@ -209,7 +225,7 @@
 
     def datagram_received(self, data: bytes, source: tuple[str, int]) -> None:
         """Pass a packet to the flow that it belongs to."""
-        packet = decode(data)
+        packet = decode(data, source[0])
         inbox = self.inboxes.get(packet.target[1])
         if inbox is not None:
             inbox.put_nowait(packet)
@@ -233,7 +249,9 @@
             if accepted is None:
                 return "unopened", b""
             if accepted.flags & packets.FLAG_RESET:
-                return "reset", b"unopened"
+                now = asyncio.get_running_loop().time()
+                self.refusals.append(Refusal(accepted.sender, target, now))
+                return "reset", b""
             reply = opening._replace(
                 sequence=1_001,
                 acknowledged=accepted.sequence + 1,
--- a/tests/forwarderfleet.py
+++ b/tests/forwarderfleet.py
@@ -8,13 +8,11 @@
 import typing
 from collections import abc
 
-import msgspec
-
 from pistachioshed.adapters import http1, jsonlog
 from pistachioshed.apps import forwarder, forwarderoptions
 from pistachioshed.core import segments
 from pistachioshed.platform import packets
-from standins import loopbackproxy, metadatastore
+from standins import loopbackproxy, metadatastore, operatorrecords
 
 CALLER_IP: typing.Final = "127.0.0.99"
 TARGET: typing.Final = ("198.18.0.1", 443)
@@ -28,62 +26,6 @@
         return int(probe.getsockname()[1])
 
 
-def build_route_fields(
-    name: str, service: str, target: tuple[int, int]
-) -> dict[str, object]:
-    """Return a route as it stands in the store."""
-    return {
-        "name": name,
-        "host": packets.format_ip(target[0]),
-        "prefix": f"/{target[1]}/",
-        "kind": "safe",
-        "timeout-ms": 1500,
-        "target-latency-ms": 150,
-        "priority": 2,
-        "service": service,
-    }
-
-
-def encode_routes(
-    version: int, routes: abc.Sequence[dict[str, object]], services: tuple[str, ...]
-) -> bytes:
-    """Return a configuration as it stands in the store."""
-    entries = [
-        {"name": name, "health-path": "/health", "connection-limit": 2000}
-        for name in services
-    ]
-    return msgspec.json.encode(
-        {
-            "version": version,
-            "routes": routes,
-            "services": entries,
-            "limits": {"idle-timeout-ms": 15000},
-        }
-    )
-
-
-def encode_configuration(version: int, services: tuple[str, ...]) -> bytes:
-    """Return a configuration whose only route leads to the first service."""
-    target = (packets.parse_ip(TARGET[0]), TARGET[1])
-    route = build_route_fields("r-1", services[0], target)
-    return encode_routes(version, [route], services)
-
-
-def encode_entry(address: tuple[str, int], **changes: typing.Any) -> bytes:
-    """Return the entry of a host of booking."""
-    entry = {
-        "service": "booking",
-        "address": f"{address[0]}:{address[1]}",
-        "zone": "riga-a",
-        "slots": 2,
-        "state": "ready",
-        "cold-remaining-ms": 0,
-        "sequence": 1,
-        "born": 1,
-    }
-    return msgspec.json.encode(entry | changes)
-
-
 def encode_packet(segment: segments.Segment) -> bytes:
     """Return the packet that a caller sends."""
     flags = packets.FLAG_OPENING if segment.opening else packets.FLAG_ACKNOWLEDGING
@@ -105,7 +47,7 @@
     """Return the opening of a caller's flow."""
     return segments.Segment(
         caller=(packets.parse_ip(CALLER_IP), port),
-        target=(packets.parse_ip(TARGET[0]), TARGET[1]),
+        target=operatorrecords.parse_target(TARGET),
         sequence=1_000,
         acknowledged=0,
         copy=0,
@@ -157,6 +99,22 @@
         """Start the store."""
         self.store_address = await self.store.start()
 
+    def configure(self, version: int, service: str) -> None:
+        """Write a configuration whose only route leads to a service."""
+        value = operatorrecords.encode_configuration(version, {TARGET: service})
+        self.store.put(operatorrecords.CONFIGURATION_KEY, value)
+
+    def register(
+        self, name: str, address: tuple[str, int], **changes: typing.Any
+    ) -> None:
+        """Write a host's entry."""
+        entry = operatorrecords.encode_entry(address, **changes)
+        self.store.put(operatorrecords.get_entry_key(name), entry)
+
+    def remove(self, name: str) -> None:
+        """Remove a host's entry."""
+        self.store.remove(operatorrecords.get_entry_key(name))
+
     async def add_proxy(self, number: int) -> loopbackproxy.LoopbackProxy:
         """Put a proxy between the store and a forwarder that starts later."""
         proxy = loopbackproxy.LoopbackProxy(self.store_address)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -14,8 +14,7 @@
     """Start a store with one configuration; end all at the end."""
     fleet = forwarderfleet.Fleet(folder)
     await fleet.start()
-    configuration = forwarderfleet.encode_configuration(1, ("booking", "sheets"))
-    fleet.store.put("op/config", configuration)
+    fleet.configure(1, "booking")
     try:
         yield fleet
     finally:
@@ -31,8 +30,7 @@
         async with open_fleet(tmp_path) as fleet:
             host = fleet.open_inbox("127.0.0.50")
             caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
-            entry = forwarderfleet.encode_entry(host.address)
-            fleet.store.put("servers/i-7f3a91c2", entry)
+            fleet.register("i-7f3a91c2", host.address)
             first = await fleet.start_forwarder(1)
             second = await fleet.start_forwarder(2)
             for each in (first, second):
@@ -102,12 +100,8 @@
 
     async def scenario() -> None:
         async with open_fleet(tmp_path) as fleet:
-            fleet.store.put(
-                "servers/i-00000001", forwarderfleet.encode_entry(("127.0.0.50", 9))
-            )
-            fleet.store.put(
-                "servers/i-00000002", forwarderfleet.encode_entry(("127.0.0.51", 9))
-            )
+            fleet.register("i-00000001", ("127.0.0.50", 9))
+            fleet.register("i-00000002", ("127.0.0.51", 9))
             forwarders = [await fleet.start_forwarder(number) for number in (1, 2, 3)]
             third = forwarders[2]
             await forwarderfleet.wait_until(
@@ -115,11 +109,9 @@
                     third.presence.state == "serving" and not third.following.watching
                 )
             )
-            leaving = forwarderfleet.encode_entry(("127.0.0.50", 9), state="draining")
-            fleet.store.put("servers/i-00000001", leaving)
-            newer = forwarderfleet.encode_configuration(2, ("sheets", "booking"))
-            fleet.store.put("op/config", newer)
-            fleet.store.remove("servers/i-00000002")
+            fleet.register("i-00000001", ("127.0.0.50", 9), state="draining")
+            fleet.configure(2, "sheets")
+            fleet.remove("i-00000002")
 
             def is_current() -> bool:
                 known = third.decisions
@@ -142,9 +134,7 @@
 
     async def scenario() -> None:
         async with open_fleet(tmp_path) as fleet:
-            fleet.store.put(
-                "servers/i-00000001", forwarderfleet.encode_entry(("127.0.0.50", 9))
-            )
+            fleet.register("i-00000001", ("127.0.0.50", 9))
             first = await fleet.start_forwarder(1)
             await forwarderfleet.wait_until(lambda: first.presence.state == "serving")
             fleet.store.failure = "silent"
@@ -160,15 +150,13 @@
 
     async def scenario() -> None:
         async with open_fleet(tmp_path) as fleet:
-            fleet.store.put(
-                "servers/i-00000001", forwarderfleet.encode_entry(("127.0.0.50", 9))
-            )
+            fleet.register("i-00000001", ("127.0.0.50", 9))
             first = await fleet.start_forwarder(1)
             directory = first.decisions.directory
             await forwarderfleet.wait_until(lambda: bool(directory.upstreams))
             fleet.store.failure = "busy"
             fleet.store.changed.set()
-            fleet.store.remove("servers/i-00000001")
+            fleet.remove("i-00000001")
             fleet.store.forget_history()
             fleet.store.failure = "none"
             await forwarderfleet.wait_until(lambda: not directory.upstreams)
@@ -209,8 +197,7 @@
             for proxy in proxies:
                 proxy.set_harm("reset")
             await asyncio.sleep(0.5)
-            newer = forwarderfleet.encode_configuration(2, ("sheets", "booking"))
-            fleet.store.put("op/config", newer)
+            fleet.configure(2, "sheets")
             written_at = asyncio.get_running_loop().time()
             await forwarderfleet.wait_until(
                 lambda: all(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,5 +19,5 @@
 def test_promises_hold_under_faults(seed: int, tmp_path: pathlib.Path) -> None:
     """Guard against promises that one fault, or two at once, break."""
     played = asyncio.run(soak.play(seed, tmp_path))
-    assert not played.violations, (played.violations, played.log)
+    assert not played.violations, (played.violations, played.faults.log)
     assert played.outcomes["served"] > 0
--- /dev/null
+++ b/tools/soakfleet.py
@@ -0,0 +1,195 @@
+"""The processes and stand-ins of one soak run."""
+
+import asyncio
+import collections
+import contextlib
+import pathlib
+import random
+import subprocess
+import sys
+import typing
+
+from pistachioshed.adapters import http1
+from standins import loopbackproxy, metadatastore, operatorrecords, packetflows
+from tests import forwarderfleet
+
+FORWARDERS: typing.Final = 4
+HOSTS: typing.Final = {"booking": 3, "sheets": 2}
+CALLERS: typing.Final = 6
+HOST_PORT: typing.Final = 8080
+TARGETS: typing.Final = {
+    "booking": ("198.18.0.1", 443),
+    "sheets": ("198.18.0.2", 443),
+}
+# A route to booking that versions of the configuration add and remove.
+CHANGING_TARGET: typing.Final = ("198.18.0.3", 443)
+
+
+class Span(typing.NamedTuple):
+    """A time from `start` to `end` in seconds of the run."""
+
+    start: float
+    end: float
+
+
+class SoakFleet:
+    """Forwarder processes at <net>.1.x, hosts at <net>.3.x, callers at <net>.2.x.
+
+    `harms` and `store_harms` hold the times in which a forwarder or the store was
+    disturbed; `routed` holds when the changing target was added (True) or removed;
+    `ended` when a host announced its end.
+    """
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self.draw = random.Random(seed)
+        self.folder = folder
+        # Runs at the same time use addresses of their own.
+        self.net = f"127.{20 + seed % 200}"
+        self.packet_port = forwarderfleet.find_port()
+        self.peers_port = forwarderfleet.find_port()
+        self.ready_port = forwarderfleet.find_port()
+        self.metrics_port = forwarderfleet.find_port()
+        self.store = metadatastore.MetadataStore()
+        self.proxies: dict[str, loopbackproxy.LoopbackProxy] = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.log_starts: dict[str, int] = {}
+        self.hosts: dict[str, packetflows.Host] = {}
+        self.checks: dict[str, asyncio.Server] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.next_host = 1
+        self.version = 0
+        self.harms: dict[str, list[Span]] = {}
+        self.store_harms: list[Span] = []
+        self.routed: list[tuple[float, bool]] = []
+        self.ended: dict[str, float] = {}
+        self.runs: collections.Counter[bytes] = collections.Counter()
+        self.arrivals: list[packetflows.Arrival] = []
+        self.refusals: list[packetflows.Refusal] = []
+        ready = {
+            self.ip_of(number): (self.ip_of(number), self.ready_port)
+            for number in range(1, FORWARDERS + 1)
+        }
+        self.routers = packetflows.Routers(ready, self.packet_port)
+        self.callers: list[packetflows.Caller] = []
+        self.checking: asyncio.Task[None] | None = None
+        self.stack = contextlib.ExitStack()
+
+    def ip_of(self, number: int) -> str:
+        """Return the address of a forwarder's machine."""
+        return f"{self.net}.1.{number}"
+
+    def now(self) -> float:
+        """Return the time of the run."""
+        return asyncio.get_running_loop().time()
+
+    async def start(self) -> None:
+        """Start store, hosts, forwarders, routers and callers."""
+        store_address = await self.store.start()
+        self.configure()
+        for service, count in HOSTS.items():
+            for _ in range(count):
+                await self.start_host(service)
+        for number in range(1, FORWARDERS + 1):
+            ip = self.ip_of(number)
+            proxy = loopbackproxy.LoopbackProxy(store_address)
+            self.proxies[ip] = proxy
+            self.harms[ip] = []
+            self.write_settings(number, await proxy.start(ip))
+            self.start_forwarder(ip)
+        self.checking = asyncio.create_task(self.routers.keep_checking())
+        for number in range(CALLERS):
+            ip = f"{self.net}.2.{number + 1}"
+            caller = packetflows.Caller(ip, self.routers, self.refusals, self.draw)
+            await packetflows.open_socket(caller, (ip, self.packet_port))
+            self.callers.append(caller)
+
+    def write_settings(self, number: int, store: tuple[str, int]) -> None:
+        """Write a forwarder's settings file."""
+        ip = self.ip_of(number)
+        (self.folder / f"{ip}.ini").write_text(
+            f"[balancer]\nname = front-{number}\nzone = riga-a\nstop_s = 6\n"
+            f"[listen]\npackets = {ip}:{self.packet_port}\n"
+            f"ready = {ip}:{self.ready_port}\npeers = {ip}:{self.peers_port}\n"
+            f"metrics = {ip}:{self.metrics_port}\n"
+            f"[store]\naddress = {store[0]}:{store[1]}\n"
+            f"[peers]\nseeds = {self.ip_of(1)}:1,{self.ip_of(2)}:1\n"
+        )
+
+    def start_forwarder(self, ip: str) -> None:
+        """Start a forwarder process; its log is kept in the folder."""
+        output = self.stack.enter_context((self.folder / f"{ip}.log").open("ab"))
+        self.log_starts[ip] = (self.folder / f"{ip}.log").stat().st_size
+        self.processes[ip] = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "pistachioshed.apps.forwarder",
+                str(self.folder / f"{ip}.ini"),
+            ],
+            stdout=output,
+            stderr=subprocess.STDOUT,
+        )
+
+    def has_served(self, ip: str) -> bool:
+        """Tell whether the forwarder's process took flows since its last start."""
+        log = (self.folder / f"{ip}.log").read_bytes()[self.log_starts[ip] :]
+        return b'"event":"serving"' in log
+
+    async def start_host(self, service: str) -> None:
+        """Start a host and register it."""
+        name = f"i-{self.next_host:08x}"
+        address = (f"{self.net}.3.{self.next_host}", HOST_PORT)
+        self.next_host += 1
+        host = packetflows.Host(
+            name, service, self.packet_port, self.runs, self.arrivals
+        )
+        await packetflows.open_socket(host, address)
+        self.checks[name] = await http1.start_server(address, host.answer_check)
+        self.hosts[name] = host
+        self.addresses[name] = address
+        self.register(name, service, "ready")
+
+    def register(self, name: str, service: str, state: str) -> None:
+        """Write a host's entry."""
+        entry = operatorrecords.encode_entry(
+            self.addresses[name], service=service, state=state
+        )
+        self.store.put(operatorrecords.get_entry_key(name), entry)
+
+    def remove_entry(self, name: str) -> None:
+        """Remove a host's entry."""
+        self.store.remove(operatorrecords.get_entry_key(name))
+
+    def has_entry(self, name: str) -> bool:
+        """Tell whether a host is registered."""
+        return operatorrecords.get_entry_key(name) in self.store.items
+
+    def configure(self) -> None:
+        """Write the next version; the changing target comes or goes by chance."""
+        self.version += self.draw.randint(1, 4)
+        targets = {target: service for service, target in TARGETS.items()}
+        is_routed = self.draw.random() < 0.5
+        if is_routed:
+            targets[CHANGING_TARGET] = "booking"
+        value = operatorrecords.encode_configuration(self.version, targets)
+        self.store.put(operatorrecords.CONFIGURATION_KEY, value)
+        self.routed.append((self.now(), is_routed))
+
+    async def stop(self) -> None:
+        """End the processes and sockets of this run."""
+        if self.checking is not None:
+            self.checking.cancel()
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        transports = [caller.transport for caller in self.callers]
+        transports += [host.transport for host in self.hosts.values()]
+        for transport in transports:
+            if transport is not None:
+                transport.close()
+        servers = [*self.checks.values(), self.store.server]
+        servers += [proxy.server for proxy in self.proxies.values()]
+        for server in servers:
+            if server is not None:
+                server.close()
+        self.stack.close()
