Test the forwarder's mechanisms that no test held; notice early changes of settings

A settings file that changed between its first read and the start of the poll was never read again; the poll now compares with nothing first. The test fails without it.

--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -123,7 +123,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
         loop.call_later(START_GRACE_S, self.open_plane)
         loop.add_reader(self.reports.sock, self.reports.receive)
         jsonlog.log_event("started", settings=self.settings._asdict())
@@ -310,7 +310,7 @@
 
     async def poll_settings(self) -> None:
         """Read the settings again when their file has changed without a signal."""
-        content = self.path.read_bytes()
+        content = b""
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
             try:
@@ -320,15 +320,15 @@
                 continue
             if newest != content:
                 content = newest
-                self.reload()
+                self.reload("file")
 
-    def reload(self) -> None:
+    def reload(self, cause: typing.Literal["file", "signal"]) -> None:
         """Take the seeds from the settings file; the rest needs a new process."""
         try:
             settings = forwarderoptions.read_forwarder_settings(self.path)
         except ExceptionGroup as group:
             faults = [str(fault) for fault in group.exceptions]
-            jsonlog.log_failure("reload refused", faults=faults)
+            jsonlog.log_failure("reload refused", cause=cause, faults=faults)
             return
         self.peers.add_seeds(self.list_seeds(settings))
         changed = [
@@ -338,7 +338,8 @@
             )
             if old != new
         ]
-        jsonlog.log_event("reloaded", changed=changed)
+        if changed or cause == "signal":
+            jsonlog.log_event("reloaded", cause=cause, changed=changed)
         self.settings = self.settings._replace(
             seeds=settings.seeds, stop_s=settings.stop_s
         )
--- a/tests/forwarderfleet.py
+++ b/tests/forwarderfleet.py
@@ -122,24 +122,25 @@
         self.proxies.append(proxy)
         return proxy
 
+    def write_settings(self, number: int, seeds: str) -> pathlib.Path:
+        """Write the settings file of a forwarder and return its path."""
+        ip = f"127.0.1.{number}"
+        store = self.store_addresses.get(number, self.store_address)
+        path = self.folder / f"front-{number}.ini"
+        path.write_text(
+            f"[balancer]\nname = front-{number}\nzone = riga-a\nstop_s = 3\n"
+            f"[listen]\npackets = {ip}:{self.port}\nready = {ip}:{self.http_port}\n"
+            f"peers = {ip}:{self.peers_port}\nmetrics = {ip}:{self.http_port + 1}\n"
+            f"[store]\naddress = {store[0]}:{store[1]}\n"
+            f"[peers]\nseeds = {seeds}\n"
+        )
+        return path
+
     async def start_forwarder(self, number: int) -> forwarder.Forwarder:
         """Start a forwarder of which the first one is the seed."""
-        ip = f"127.0.1.{number}"
         name = f"front-{number}"
-        settings = forwarderoptions.ForwarderSettings(
-            name,
-            "riga-a",
-            (ip, self.port),
-            (ip, self.http_port),
-            (ip, self.peers_port),
-            (ip, self.http_port + 1),
-            self.store_addresses.get(number, self.store_address),
-            ("127.0.1.1",),
-            3.0,
-            10.0,
-        )
-        path = self.folder / f"{name}.ini"
-        path.write_text("")
+        path = self.write_settings(number, "127.0.1.1:1")
+        settings = forwarderoptions.read_forwarder_settings(path)
         null = os.open(os.devnull, os.O_WRONLY)
         self.stack.callback(os.close, null)
         started = forwarder.Forwarder(settings, path, jsonlog.BoundedStream(null))
--- a/tests/steeringbuilders.py
+++ b/tests/steeringbuilders.py
@@ -26,6 +26,11 @@
     return upstream._replace(**changes)
 
 
+def build_change(upstream: directory.Upstream, revision: int) -> directory.Change:
+    """Return the registration of an upstream at a revision."""
+    return directory.Change(upstream.name, upstream, revision)
+
+
 def build_route(**changes: typing.Any) -> routing.Route:
     """Return a route to booking."""
     route = routing.Route(
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
+import signal
 from collections import abc
 
 from pistachioshed.platform import packets
+from standins import metadatastore
 from tests import forwarderfleet
 
 
@@ -207,3 +210,103 @@
             assert asyncio.get_running_loop().time() - written_at < 3.0
 
     asyncio.run(scenario())
+
+
+def test_entries_of_other_writers_and_long_listings_are_read(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against hosts lost behind a damaged entry or the first page."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            for number in range(1, metadatastore.PAGE_ITEMS + 11):
+                fleet.register(f"i-{number:08x}", ("127.0.0.50", 1000 + number))
+            fleet.register("i-00000003", ("nowhere", 9))
+            first = await fleet.start_forwarder(1)
+            directory = first.decisions.directory
+            await forwarderfleet.wait_until(lambda: bool(directory.upstreams))
+            assert len(directory.upstreams) == metadatastore.PAGE_ITEMS + 9
+            fleet.register("i-00000004", ("127.0.0.50", 9), state="resting")
+            fleet.register("i-00000005", ("127.0.0.50", 9), state="draining")
+            await forwarderfleet.wait_until(
+                lambda: directory.upstreams["i-00000005"].draining
+            )
+            assert "i-00000004" in directory.lapsed_at
+
+    asyncio.run(scenario())
+
+
+def test_a_forwarder_that_leaves_goes_on_forwarding(tmp_path: pathlib.Path) -> None:
+    """Guard against flows cut by a planned stop before the routers notice it."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            host = fleet.open_inbox("127.0.0.50")
+            caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
+            fleet.register("i-00000001", host.address)
+            first = await fleet.start_forwarder(1)
+            await forwarderfleet.wait_until(
+                lambda: bool(first.decisions.directory.upstreams)
+            )
+            first.request_stop()
+            task = fleet.running["front-1"][1]
+            served = 0
+            while not task.done():
+                # The routers go on sending for a second after the request to stop.
+                if served < 10:
+                    opening = forwarderfleet.build_opening(40001 + served)
+                    caller.send(
+                        forwarderfleet.encode_packet(opening), first.settings.packets
+                    )
+                    await host.receive()
+                    served += 1
+                await asyncio.sleep(0.1)
+            assert served == 10
+
+    asyncio.run(scenario())
+
+
+def test_a_forwarder_without_a_live_upstream_leaves_the_rotation(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against callers sent to a balancer that is cut off from all hosts."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
+            fleet.register("i-00000001", ("127.0.0.50", 9))
+            first = await fleet.start_forwarder(1)
+            await forwarderfleet.wait_until(
+                lambda: bool(first.decisions.directory.upstreams)
+            )
+            opening = forwarderfleet.build_opening(40001)
+            caller.send(forwarderfleet.encode_packet(opening), first.settings.packets)
+            await forwarderfleet.wait_until(lambda: first.unserved == ["booking"])
+            response = await forwarderfleet.get(first.settings.ready, "/api/ready")
+            assert response.status == 503
+
+    asyncio.run(scenario())
+
+
+def test_seeds_are_read_again_when_the_settings_change(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against a balancer that never hears of peers named later."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            first = await fleet.start_forwarder(1)
+            second = ("127.0.1.2", fleet.peers_port)
+            assert second not in first.peers.addresses
+            fleet.write_settings(1, seeds="127.0.1.2:1")
+            await forwarderfleet.wait_until(lambda: second in first.peers.addresses)
+            third = ("127.0.1.3", fleet.peers_port)
+            fleet.write_settings(1, seeds="127.0.1.3:1")
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0)
+            await forwarderfleet.wait_until(lambda: third in first.peers.addresses)
+            (first.path).write_text("[balancer]\nname = \n")
+            first.reload("signal")
+            assert first.settings.name == "front-1"
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,81 @@
+"""Choice of the upstream for new flows, by load pattern."""
+
+import collections
+
+from pistachioshed.core import directory, neighbours, routing
+from tests import steeringbuilders as build
+
+FIRST = build.build_upstream(1)
+SECOND = build.build_upstream(2)
+FAR = build.build_upstream(3, zone="riga-b")
+
+
+def place(balancer: build.Balancer, count: int, now: float) -> collections.Counter[str]:
+    """Open flows and return how many each upstream got."""
+    placed = [balancer.open(50_000 + number, now) for number in range(count)]
+    return collections.Counter(upstream.name for upstream in placed)
+
+
+def finish(
+    balancer: build.Balancer, upstream: directory.Upstream, port: int, start: float
+) -> None:
+    """Pass a flow whose response takes 30 ms, or 90 ms of the first upstream."""
+    caller = (build.CALLER[0], port)
+    token = upstream.token
+    latency_s = 0.09 if upstream == FIRST else 0.03
+    request = build.build_data(token, caller=caller, length=200)
+    balancer.send(request, start + 0.001)
+    end = build.build_data(
+        token, caller=caller, sequence=1_201, acknowledged=900, closing=True
+    )
+    balancer.send(end, start + latency_s)
+
+
+def test_a_slow_host_gets_fewer_flows() -> None:
+    """Guard against a straggler that gets its full share: hosts of unequal speed."""
+    balancer = build.Balancer(FIRST, SECOND)
+    counts: collections.Counter[str] = collections.Counter()
+    for number in range(200):
+        port = 40_000 + number
+        upstream = balancer.open(port, number * 1.0)
+        finish(balancer, upstream, port, number * 1.0)
+        counts[upstream.name] += 1
+    # Its speed is a quarter of the service's.
+    assert counts[FIRST.name] <= 50
+    assert place(balancer, 1, 300.0) == {SECOND.name: 1}
+
+
+def test_a_host_that_has_just_started_is_spared() -> None:
+    """Guard against a cold host that gets as much as a warm one: scale out."""
+    cold = FIRST._replace(cold_s=5.0)
+    balancer = build.Balancer(cold, SECOND)
+    assert place(balancer, 2, 1.0) == {SECOND.name: 2}
+    warm = build.Balancer(cold, SECOND)
+    assert set(place(warm, 20, 6.0)) == {FIRST.name, SECOND.name}
+
+
+def test_flows_stay_in_their_zone_until_it_is_busy() -> None:
+    """Guard against needless bytes between zones, and against a full zone: burst."""
+    balancer = build.Balancer(FIRST, FAR)
+    assert place(balancer, 1, 0.0) == {FIRST.name: 1}
+    assert place(balancer, 11, 0.0)[FAR.name] >= 5
+
+
+def test_no_upstream_gets_more_than_its_connection_limit() -> None:
+    """Guard against hosts that silently drop what is above their limit."""
+    limits = routing.ServiceLimits("/health", 3)
+    configuration = build.build_configuration()._replace(services={"booking": limits})
+    balancer = build.Balancer(FIRST, SECOND, configuration=configuration)
+    loads = (neighbours.UpstreamLoad(FIRST.token, 2, False),)
+    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 0.0)
+    assert place(balancer, 4, 0.0) == {FIRST.name: 1, SECOND.name: 3}
+
+
+def test_a_lapsed_upstream_is_the_last_choice() -> None:
+    """Guard against flows for a host that may have ended: its entry has gone."""
+    balancer = build.Balancer(FIRST, SECOND)
+    balancer.remove(FIRST, now=1.0)
+    assert place(balancer, 10, 1.1) == {SECOND.name: 10}
+    balancer.register(SECOND._replace(draining=True), now=1.2)
+    balancer.tick(1.3)
+    assert balancer.open(now=1.3) == FIRST
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -351,3 +351,52 @@
     balancer.steering.record_probe(SECOND, "passed", "status 200", 10.0)
     balancer.tick(10.1)
     assert balancer.steering.cut_zones == set()
+
+
+@pytest.mark.parametrize(("kind", "resets"), [("safe", 1), ("unsafe", 0)])
+def test_repeated_data_into_a_zone_that_is_cut_off(
+    kind: routing.RequestKind, resets: int
+) -> None:
+    """Guard against callers that wait for a cut to heal, and against false resets."""
+    route = build.build_route(kind=kind)
+    configuration = build.build_configuration(1, route)
+    balancer = build.Balancer(SECOND, configuration=configuration)
+    balancer.steering.hear_peer(build.build_report("front-9", zone="riga-b"), 0.0)
+    balancer.open(now=0.0)
+    request = build.build_data(SECOND.token, length=200)
+    balancer.send(request, 0.01)
+    balancer.tick(1.0)
+    assert balancer.steering.cut_zones == {"riga-b"}
+    balancer.take_orders()
+    assert balancer.send(request, 1.1) == segments.Forward(SECOND, mark=False)
+    orders = balancer.take_orders()
+    assert [type(order.action) for order in orders] == [segments.Refuse] * resets
+
+
+def test_a_host_whose_probes_pass_while_flows_stay_silent_is_trusted_less() -> None:
+    """Guard against a host with a false health check that gets flow after flow."""
+    known = outlook.Outlook()
+    waits = []
+    now = 0.0
+    for _ in range(5):
+        known.suspect(True, now)
+        start = now
+        while not known.record_probe(passed=True, silent=False, now=now):
+            now += 0.1
+        waits.append(now - start)
+    assert waits[0] < 0.4
+    assert waits == sorted(waits)
+    assert waits[-1] >= outlook.HOLD_MAX_S / 2
+
+
+def test_a_flow_that_turns_to_an_earlier_upstream_is_counted_once() -> None:
+    """Guard against a load that grows by each answered flow."""
+    balancer = build.Balancer(FIRST, SECOND)
+    upstream = balancer.open(now=0.0)
+    other = find_other(upstream)
+    balancer.answer(upstream, now=0.01)
+    response = build.build_data(upstream.token, acknowledged=900)
+    balancer.send(response, 0.05)
+    balancer.send(response._replace(token=other.token), 0.06)
+    assert balancer.steering.waiting == {}
+    assert balancer.steering.evidence.find(other).outstanding == 0
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -107,7 +107,7 @@
                 return
 
     def is_calm(self, forwarder: str, at: float) -> bool:
-        """Tell whether forwarder and store were left alone long enough before a time."""
+        """Tell whether forwarder and store were left alone before a time."""
         harms = (*self.fleet.harms[forwarder], *self.fleet.store_harms)
         return not any(harm.start <= at and at - harm.end <= CALM_S for harm in harms)
 
