Wait for conditions in the process tests instead of for seconds

Balancers show in their metrics whether members and tables are settled, and how many members there are; the tests wait for those. The fabric now learns of a death only when the successors have taken over, later than before, so that the tests hold at least as much.

--- a/src/pistachioshed/apps/balancer.py
+++ b/src/pistachioshed/apps/balancer.py
@@ -104,6 +104,10 @@
         for service in self.settings.services:
             flows = self.node.count_flows(service)
             self.metrics.set_gauge("open_flows", flows, service=service)
+            settled = self.node.is_settled(service, time.monotonic())
+            self.metrics.set_gauge("settled", int(settled), service=service)
+        members = len(self.node.active_members)
+        self.metrics.set_gauge("active_members", members)
         self.metrics.set_gauge("loop_lag_seconds", self.loop_lag_s)
         self.loop_lag_s = 0.0
 
--- a/src/pistachioshed/core/node.py
+++ b/src/pistachioshed/core/node.py
@@ -92,6 +92,15 @@
         """The names of the balancers that own flows."""
         return self.peering.list_owners()
 
+    def is_settled(self, service: str, now: float) -> bool:
+        """Tell whether members and table have been the same for long enough."""
+        changed_at = max(
+            self.peering.membership.changed_at,
+            self.services[service].changed_at,
+            self.woken_at,
+        )
+        return now - changed_at >= self.config.settle_s
+
     def count_flows(self, service: str) -> int:
         """Return how many flows of a service are held."""
         state = self.services.get(service)
@@ -167,10 +176,7 @@
                 return [events.SendOwner(previous)]
             bound = state.resume_flow(event.flow, previous, now)
         else:
-            changed_at = max(
-                self.peering.membership.changed_at, state.changed_at, self.woken_at
-            )
-            settled = now - changed_at >= self.config.settle_s
+            settled = self.is_settled(event.service, now)
             bound = state.open_flow(event.flow, event.opening_id, settled, now)
         if isinstance(bound, flows.Flow):
             actions = self._forward(event, bound, now)
--- a/tests/playground.py
+++ b/tests/playground.py
@@ -17,7 +17,10 @@
 # an owner's death both ends retransmit with exponential backoff, so that the wait may
 # last twice as long as the outage.
 ANSWER_LIMIT_S: typing.Final = settings.Settings("", "").flow_idle_s
-SETTLE_S: typing.Final = 4.0
+# Three seconds after the last change of members or tables, and some to spare.
+SETTLE_LIMIT_S: typing.Final = 20.0
+# A ping, its timeout and the suspicion take about two seconds.
+DEATH_LIMIT_S: typing.Final = 15.0
 FEED_S: typing.Final = 0.5
 JOIN_LIMIT_S: typing.Final = 20.0
 LAYOUT: typing.Final = layouts.KRASOTAVA._replace(
@@ -61,7 +64,7 @@
         running.start_fabric(seed=1)
         running.start_balancers()
         supervisor.wait_for("all balancers active", has_joined, JOIN_LIMIT_S)
-        time.sleep(SETTLE_S)
+        wait_for_gauge(running, "settled", 1, SETTLE_LIMIT_S)
         yield running
     finally:
         stopped.set()
@@ -84,12 +87,40 @@
             running.start_balancers()
             running.start_fabric(seed=1)
             wait_for_version(control, 1, JOIN_LIMIT_S)
-            time.sleep(SETTLE_S)
+            wait_for_gauge(running, "settled", 1, SETTLE_LIMIT_S)
             yield control
         finally:
             supervisor.stop_all()
 
 
+def wait_for_gauge(running: fleet.Fleet, name: str, value: int, limit_s: float) -> None:
+    """Wait until all balancers show a value for the only service."""
+    service = running.layout.services[0].name
+
+    def check() -> bool:
+        return all(
+            measures.read_gauge(running.layout.find_metrics(number), name, service)
+            == value
+            for number in range(BALANCERS)
+        )
+
+    running.supervisor.wait_for(f"{name} {value}", check, limit_s)
+
+
+def wait_for_successors(running: fleet.Fleet, gone: int) -> None:
+    """Wait until the other balancers no longer count one as a member."""
+    others = [number for number in range(BALANCERS) if number != gone]
+
+    def check() -> bool:
+        return all(
+            measures.read_gauge(running.layout.find_metrics(number), "active_members")
+            == len(others)
+            for number in others
+        )
+
+    running.supervisor.wait_for("successors take over", check, DEATH_LIMIT_S)
+
+
 def wait_for_version(
     control: controlplane.ControlPlane, version: int, limit_s: float
 ) -> None:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import time
 from collections import abc
 
 from pistachioshed.platform import packets
@@ -199,7 +200,10 @@
             )
             for proxy in proxies:
                 proxy.set_harm("reset")
-            await asyncio.sleep(0.5)
+            lost = [each.following for each in forwarders[:2]]
+            await forwarderfleet.wait_until(
+                lambda: all(each.is_lost(time.monotonic()) for each in lost)
+            )
             fleet.configure(2, "sheets")
             written_at = asyncio.get_running_loop().time()
             await forwarderfleet.wait_until(
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import signal
-import time
 import typing
 
 from tests import playground
@@ -13,8 +12,6 @@
 SHEET_BYTES: typing.Final = 200_000
 SECONDS: typing.Final = 8.0
 LEFT_OVER_S: typing.Final = 40.0
-# Longer than a ping, its timeout and the suspicion, so that successors take over.
-FROZEN_S: typing.Final = 4.0
 FROZEN_SECONDS: typing.Final = 10.0
 EDIT_LIMIT_S: typing.Final = 4.0
 
@@ -25,7 +22,7 @@
 
         def kill() -> None:
             running.kill_balancer(0)
-            time.sleep(1)
+            playground.wait_for_successors(running, 0)
             running.remove_from_fabric(0)
 
         results = asyncio.run(
@@ -61,7 +58,7 @@
 
         def freeze() -> None:
             running.supervisor.send_signal(name, signal.SIGSTOP)
-            time.sleep(FROZEN_S)
+            playground.wait_for_successors(running, 0)
             running.supervisor.send_signal(name, signal.SIGCONT)
 
         results = asyncio.run(
--- a/tools/measures.py
+++ b/tools/measures.py
@@ -10,7 +10,7 @@
 from tools import fleet, layouts
 
 JSON = dict[str, typing.Any]
-VERSION_METRIC: typing.Final = "pistachioshed_balancer_table_version"
+METRIC_PREFIX: typing.Final = "pistachioshed_balancer"
 
 
 class Measures(typing.NamedTuple):
@@ -126,12 +126,18 @@
 
 def read_version(address: str, service: str) -> int:
     """Return the table version that a balancer has in force, 0 without one."""
+    return read_gauge(address, "table_version", service)
+
+
+def read_gauge(address: str, name: str, service: str = "") -> int:
+    """Return a gauge of a balancer, 0 if it has none or is not reached."""
     try:
         with urllib.request.urlopen(f"http://{address}/metrics", timeout=1) as response:
             lines = response.read().decode().splitlines()
     except OSError:
         return 0
-    prefix = f'{VERSION_METRIC}{{service="{service}"}} '
+    labels = f'{{service="{service}"}}' if service else ""
+    prefix = f"{METRIC_PREFIX}_{name}{labels} "
     values = [line[len(prefix) :] for line in lines if line.startswith(prefix)]
     return int(float(values[0])) if values else 0
 
