Add tests for nine mechanisms that mutants of the core outlived

Survivors before: connection limit, suspicion by a peer of the zone, one trial at a time, life that outweighs silence, zone cost, busy slots, jitter, bounds of peers and addresses.

--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -1,5 +1,7 @@
 """What a forwarder knows of its peers."""
 
+import pytest
+
 from pistachioshed.core import neighbours
 from tests import steeringbuilders as build
 
@@ -131,3 +133,16 @@
     peers.record(build.build_report("front-3", address=("10.1.0.3", 7720)), 0.0)
     assert len(peers.expire(neighbours.FORGET_AFTER_S + 1)) == 2
     assert peers.list_recipients(1) == [seed]
+
+
+def test_peers_and_addresses_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against reports of made-up peers that use up memory and bandwidth."""
+    monkeypatch.setattr(neighbours, "PEERS_MAX", 10)
+    peers = build_neighbours()
+    for number in range(50):
+        name = f"front-{number + 2}"
+        named = tuple((f"10.9.{number}.{other}", 7720) for other in range(5))
+        report = build.build_report(name, address=("10.1.0.1", number), peers=named)
+        peers.record(report, 0.0)
+    assert len(peers.peers) == 10
+    assert len(peers.addresses) <= 10
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from pistachioshed.core import directory, neighbours, routing
+from pistachioshed.core import directory, neighbours, routing, segments
 from tests import steeringbuilders as build
 
 FIRST = build.build_upstream(1)
@@ -56,9 +56,38 @@
 
 def test_flows_stay_in_their_zone_until_it_is_busy() -> None:
     """Guard against needless bytes between zones, and against a full zone: burst."""
-    balancer = build.Balancer(FIRST, FAR)
-    assert place(balancer, 1, 0.0) == {FIRST.name: 1}
-    assert place(balancer, 11, 0.0)[FAR.name] >= 5
+    balancer = build.Balancer(FAR, FIRST)
+    for number in range(20):
+        upstream = balancer.open(40_000 + number, float(number))
+        assert upstream == FIRST
+        finish(balancer, upstream, 40_000 + number, float(number))
+    assert place(balancer, 12, 30.0)[FAR.name] >= 5
+
+
+def test_idle_upstreams_share_single_flows() -> None:
+    """Guard against balancers that all choose the same one of several idle hosts."""
+    balancer = build.Balancer(FIRST, SECOND)
+    placed = set()
+    for number in range(40):
+        upstream = balancer.open(40_000 + number, float(number))
+        placed.add(upstream)
+        end = build.build_data(
+            upstream.token, caller=(build.CALLER[0], 40_000 + number), closing=True
+        )
+        balancer.send(end, float(number) + 0.01)
+    assert placed == {FIRST, SECOND}
+
+
+def test_an_idle_upstream_goes_before_one_with_a_free_slot() -> None:
+    """Guard against two requests on one host while another one is idle."""
+    for token in (FIRST.token, SECOND.token):
+        for attempt in range(20):
+            balancer = build.Balancer(FIRST, SECOND)
+            loads = (neighbours.UpstreamLoad(token, 1, False),)
+            report = build.build_report("front-2", loads=loads)
+            balancer.steering.hear_peer(report, 0.0)
+            upstream = balancer.open(40_000 + attempt, 0.0)
+            assert upstream.token != token
 
 
 def test_no_upstream_gets_more_than_its_connection_limit() -> None:
@@ -69,6 +98,8 @@
     loads = (neighbours.UpstreamLoad(FIRST.token, 2, False),)
     balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 0.0)
     assert place(balancer, 4, 0.0) == {FIRST.name: 1, SECOND.name: 3}
+    refused = balancer.send(build.build_segment(), 0.0)
+    assert refused == segments.Refuse("no upstream of booking")
 
 
 def test_a_lapsed_upstream_is_the_last_choice() -> None:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -207,6 +207,36 @@
     assert {upstream.name for upstream in placed} == {SECOND.name}
 
 
+def test_a_suspicion_of_the_same_zone_counts_at_once() -> None:
+    """Guard against a dead host that each balancer has to find out by itself."""
+    balancer = build.Balancer(FIRST, SECOND)
+    loads = (neighbours.UpstreamLoad(FIRST.token, 0, True),)
+    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 1.0)
+    placed = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
+    assert placed == {SECOND}
+    assert balancer.steering.evidence.list_loads()[0].token == SECOND.token
+
+
+def test_a_suspicion_of_a_host_that_has_just_answered_is_ignored() -> None:
+    """Guard against a healthy host that is shunned for a packet that a peer lost."""
+    balancer = build.Balancer(FIRST)
+    balancer.open(now=0.0)
+    balancer.answer(FIRST, now=0.95)
+    loads = (neighbours.UpstreamLoad(FIRST.token, 0, True),)
+    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 1.0)
+    assert balancer.find_events("upstream suspected") == []
+
+
+def test_an_upstream_that_answers_others_is_not_blamed_for_a_lost_opening() -> None:
+    """Guard against probes and suspicion on links that lose packets."""
+    balancer = build.Balancer(FIRST)
+    for port in range(40000, 40010):
+        balancer.open(port, now=0.0)
+    balancer.answer(FIRST, 40000, now=0.03)
+    assert balancer.tick(0.1) == []
+    assert balancer.find_events("upstream suspected") == []
+
+
 def test_a_suspicion_of_another_zone_is_checked_before_it_counts() -> None:
     """Guard against a zone that is cut off and makes the others shun its hosts."""
     balancer = build.Balancer(FIRST)
@@ -315,7 +345,10 @@
     later = outlook.TRIAL_FIRST_S + 0.1
     tried = [balancer.open(port, now=later) for port in range(41000, 41010)]
     assert tried.count(FIRST) == 1
-    balancer.answer(FIRST, 41000 + tried.index(FIRST), now=later + 0.01)
+    much_later = later + 10 * outlook.TRIAL_MAX_S
+    again = [balancer.open(port, now=much_later) for port in range(42000, 42010)]
+    assert again.count(FIRST) == 1
+    balancer.answer(FIRST, 42000 + again.index(FIRST), now=much_later + 0.01)
     assert evidence.suspected_at is None
 
 
