--- a/src/pistachioshed/adapters/forwarding.py
+++ b/src/pistachioshed/adapters/forwarding.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from pistachioshed.core import segments, steering
+from pistachioshed.core import dispatch, segments
 
 # A burst of the users' grown tables on one machine, 400 packets of 1.3 kB.
 RECEIVE_BUFFER_BYTES: typing.Final = 1_048_576
@@ -29,12 +29,12 @@
     def __init__(
         self,
         address: tuple[str, int],
-        decisions: steering.Steering,
+        dispatcher: dispatch.Dispatcher,
         codec: Codec,
         clock: abc.Callable[[], float],
         count: Count,
     ) -> None:
-        self.decisions = decisions
+        self.dispatcher = dispatcher
         self.codec = codec
         self.clock = clock
         self.count = count
@@ -68,7 +68,7 @@
         except ValueError:
             self.count("packets", outcome="malformed")
             return
-        action = self.decisions.handle(segment, data, now)
+        action = self.dispatcher.handle(segment, data, now)
         if isinstance(action, segments.Drop):
             self.count("packets", outcome="dropped")
             return
@@ -76,7 +76,7 @@
 
     def carry_out_orders(self) -> None:
         """Send what was decided without a packet that asked for it."""
-        orders, self.decisions.orders = self.decisions.orders, []
+        orders, self.dispatcher.orders = self.dispatcher.orders, []
         for order in orders:
             self.carry_out(order)
 
--- a/src/pistachioshed/adapters/reporting.py
+++ b/src/pistachioshed/adapters/reporting.py
@@ -6,18 +6,18 @@
 
 import msgspec
 
-from pistachioshed.core import neighbours
+from pistachioshed.core import peertable
 
 REPORT_MAX_BYTES: typing.Final = 8_192
 REPORTS_PER_TURN: typing.Final = 64
 
 
-def encode_report(report: neighbours.Report) -> bytes:
+def encode_report(report: peertable.Report) -> bytes:
     """Return a report as msgpack."""
     return msgspec.msgpack.encode(report)
 
 
-def decode_report(data: bytes) -> neighbours.Report:
+def decode_report(data: bytes) -> peertable.Report:
     """Read a report.
 
     Raises
@@ -25,7 +25,7 @@
     msgspec.MsgspecError
         If the bytes are none.
     """
-    return msgspec.msgpack.decode(data, type=neighbours.Report)
+    return msgspec.msgpack.decode(data, type=peertable.Report)
 
 
 class ReportSocket:
@@ -34,7 +34,7 @@
     def __init__(
         self,
         address: tuple[str, int],
-        deliver: abc.Callable[[neighbours.Report], None],
+        deliver: abc.Callable[[peertable.Report], None],
         count: abc.Callable[..., None],
     ) -> None:
         self.deliver = deliver
@@ -62,7 +62,7 @@
             self.deliver(report)
 
     def send(
-        self, report: neighbours.Report, addresses: abc.Iterable[tuple[str, int]]
+        self, report: peertable.Report, addresses: abc.Iterable[tuple[str, int]]
     ) -> None:
         """Send a report to all addresses; a lost one is made good by the next."""
         data = encode_report(report)
--- a/src/pistachioshed/adapters/beliefs.py
+++ b/src/pistachioshed/adapters/statemessages.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from pistachioshed.adapters import http1
-from pistachioshed.core import directory, routing, steering
+from pistachioshed.core import directory, dispatch, routing
 
-PATH: typing.Final = "/beliefs"
+PATH: typing.Final = "/state"
 CONTENT_TYPE: typing.Final = "application/msgpack"
 WAIT_S: typing.Final = 5.0
 REQUEST_TIMEOUT_S: typing.Final = 2.0  # A configuration on a link of 10 Mbit/s.
@@ -17,8 +17,8 @@
 MESSAGE_MAX_BYTES: typing.Final = 16_000_000
 
 
-class Beliefs(typing.NamedTuple):
-    """What changed since the receiver's own beliefs, or all of it if a snapshot.
+class StateUpdate(typing.NamedTuple):
+    """What changed since the receiver's own state, or all of it if a snapshot.
 
     `services` and `routes` are those of the configuration of `version`, empty if the
     receiver has that one.
@@ -34,17 +34,19 @@
     services: dict[str, routing.ServiceLimits]
 
 
-class BeliefsError(Exception):
-    """A peer's beliefs that could not be fetched or read."""
+class StateMessageError(Exception):
+    """A peer's state that could not be fetched or read."""
 
 
-def collect_beliefs(decisions: steering.Steering, revision: int, version: int) -> bytes:
+def collect_update(
+    dispatcher: dispatch.Dispatcher, revision: int, version: int
+) -> bytes:
     """Return the message for a peer that knows a revision and a version."""
-    known = decisions.directory
-    configuration = decisions.configuration
+    known = dispatcher.directory
+    configuration = dispatcher.configuration
     changes = known.list_changes(revision) if revision else None
     is_newer = configuration.version > version
-    beliefs = Beliefs(
+    update = StateUpdate(
         known.revision,
         known.changed,
         changes is None,
@@ -54,52 +56,54 @@
         tuple(configuration.routes.values()) if is_newer else (),
         configuration.services if is_newer else {},
     )
-    return zlib.compress(msgspec.msgpack.encode(beliefs), COMPRESSION_LEVEL)
+    return zlib.compress(msgspec.msgpack.encode(update), COMPRESSION_LEVEL)
 
 
-def apply_beliefs(decisions: steering.Steering, beliefs: Beliefs, now: float) -> None:
-    """Take a peer's beliefs where they are newer."""
-    if beliefs.version > decisions.configuration.version and beliefs.services:
-        routes = {route.target: route for route in beliefs.routes}
-        decisions.configure(
+def apply_update(
+    dispatcher: dispatch.Dispatcher, update: StateUpdate, now: float
+) -> None:
+    """Take a peer's state where it is newer."""
+    if update.version > dispatcher.configuration.version and update.services:
+        routes = {route.target: route for route in update.routes}
+        dispatcher.configure(
             routing.Configuration(
-                beliefs.version, routes, beliefs.services, beliefs.flow_idle_s
+                update.version, routes, update.services, update.flow_idle_s
             ),
             now,
         )
-    decisions.update_directory(beliefs.changes, beliefs.revision, beliefs.snapshot, now)
-    known = decisions.directory
-    known.changed = max(known.changed, beliefs.changed)
+    dispatcher.update_directory(update.changes, update.revision, update.snapshot, now)
+    known = dispatcher.directory
+    known.changed = max(known.changed, update.changed)
 
 
-def decode_beliefs(data: bytes) -> Beliefs:
+def decode_update(data: bytes) -> StateUpdate:
     """Read a message.
 
     Raises
     ------
-    BeliefsError
+    StateMessageError
         If the bytes are none.
     """
     try:
         inflater = zlib.decompressobj()
         content = inflater.decompress(data, MESSAGE_MAX_BYTES)
-        return msgspec.msgpack.decode(content, type=Beliefs)
+        return msgspec.msgpack.decode(content, type=StateUpdate)
     except (zlib.error, msgspec.MsgspecError) as error:
-        raise BeliefsError(f"decode beliefs: {error}") from error
+        raise StateMessageError(f"decode state: {error}") from error
 
 
-async def fetch_beliefs(
+async def fetch_update(
     connection: http1.Connection,
     revision: int,
     version: int,
     wait_s: float,
     timeout_s: float = REQUEST_TIMEOUT_S,
-) -> Beliefs:
+) -> StateUpdate:
     """Ask a peer for what is newer than a revision and a version.
 
     Raises
     ------
-    BeliefsError
+    StateMessageError
         If there is no answer in time, or it can not be read.
     """
     query = urllib.parse.urlencode(
@@ -110,10 +114,10 @@
             "GET", f"{PATH}?{query}", wait_s + timeout_s
         )
     except http1.HttpError as error:
-        raise BeliefsError(str(error)) from error
+        raise StateMessageError(str(error)) from error
     if response.status != 200:
-        raise BeliefsError(f"{connection.peer}: status {response.status}")
-    return decode_beliefs(response.body)
+        raise StateMessageError(f"{connection.peer}: status {response.status}")
+    return decode_update(response.body)
 
 
 def parse_query(target: str) -> tuple[int, int, float]:
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -16,8 +16,8 @@
     metrics,
     reporting,
 )
-from pistachioshed.apps import following, forwarderoptions
-from pistachioshed.core import directory, neighbours, presence, segments, steering
+from pistachioshed.apps import forwarderoptions, statesync
+from pistachioshed.core import directory, dispatch, peertable, segments, servingstate
 from pistachioshed.platform import packets, records
 
 TICK_S: typing.Final = 0.02  # A third of the time in which an opening is acknowledged.
@@ -33,7 +33,7 @@
 ROTATION_S: typing.Final = 1.3
 QUIET_S: typing.Final = 0.8
 STOP_MARGIN_S: typing.Final = 0.7
-# The store answers in 4 ms; without beliefs after this time openings are refused, so
+# The store answers in 4 ms; without state after this time openings are refused, so
 # that callers try another balancer.
 START_GRACE_S: typing.Final = 0.3
 SETTINGS_POLL_S: typing.Final = 2.0
@@ -42,7 +42,7 @@
 
 
 class Forwarder:
-    """One forwarder process: its beliefs, sockets and tasks."""
+    """One forwarder process: its state, sockets and tasks."""
 
     def __init__(
         self,
@@ -54,28 +54,28 @@
         self.log_stream = log_stream
         self.path = path
         self.metrics = metrics.Metrics("pistachioshed_forwarder")
-        self.presence = presence.Presence()
+        self.serving = servingstate.ServingState()
         self.clock = time.monotonic
         self.start_ms = time.time_ns() // 1_000_000
         self.sequence = 0
-        self.last_loads: tuple[neighbours.UpstreamLoad, ...] = ()
+        self.last_loads: tuple[peertable.UpstreamLoad, ...] = ()
         self.reported_at = 0.0
         self.stop_requested_at = 0.0
         self.unserved: list[str] = []
         self.stopped = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
-        self.peers = neighbours.Neighbours(
+        self.peers = peertable.PeerTable(
             settings.name,
             settings.zone,
             self.list_seeds(settings),
             settings.capacity,
         )
-        self.decisions = steering.Steering(
+        self.dispatcher = dispatch.Dispatcher(
             settings.zone, self.peers, self.record, self.observe, os.getpid()
         )
         self.plane = forwarding.PacketPlane(
             settings.packets,
-            self.decisions,
+            self.dispatcher,
             forwarding.Codec(
                 packets.decode_packet,
                 packets.encode_forward,
@@ -85,12 +85,12 @@
             self.clock,
             self.metrics.count,
         )
-        self.following = following.Following(
+        self.sync = statesync.StateSync(
             settings.name,
             settings.store,
-            self.decisions,
+            self.dispatcher,
             self.start_task,
-            self.note_beliefs,
+            self.note_state,
             self.metrics.count,
             self.clock,
         )
@@ -127,15 +127,13 @@
         loop.call_later(START_GRACE_S, self.open_plane)
         loop.add_reader(self.reports.sock, self.reports.receive)
         jsonlog.log_event("started", settings=self.settings._asdict())
-        self.following.start_watching()
+        self.sync.start_watching()
         self.start_task(self.poll_settings())
-        self.start_task(self.following.keep_role())
+        self.start_task(self.sync.keep_role())
         servers = [
             await http1.start_server(self.settings.ready, self.answer_ready),
             await http1.start_server(self.settings.metrics, self.answer_metrics),
-            await http1.start_server(
-                self.settings.peers, self.following.answer_beliefs
-            ),
+            await http1.start_server(self.settings.peers, self.sync.answer_state),
         ]
         self.start_task(self.keep_ticking())
         await self.stopped.wait()
@@ -166,13 +164,13 @@
             jsonlog.log_failure("task failed", task=task.get_name(), cause=repr(error))
             self.metrics.count("task_failures")
 
-    def note_beliefs(self) -> None:
+    def note_state(self) -> None:
         """Start to serve once configuration and upstreams are known."""
         self.plane.carry_out_orders()
-        if self.decisions.configuration.version and self.decisions.directory.revision:
-            before = self.presence.state
-            self.presence.signals.note_beliefs()
-            if self.presence.state != before:
+        if self.dispatcher.configuration.version and self.dispatcher.directory.revision:
+            before = self.serving.state
+            self.serving.signals.note_state()
+            if self.serving.state != before:
                 jsonlog.log_event("serving")
                 self.open_plane()
 
@@ -182,17 +180,17 @@
 
     async def answer_ready(self, request: http1.Request) -> http1.Response:
         """Tell the fabric whether this balancer takes flows."""
-        ready = self.presence.state == "serving" and not self.unserved
+        ready = self.serving.state == "serving" and not self.unserved
         return http1.Response(200 if ready else 503, {}, b"")
 
     async def answer_metrics(self, request: http1.Request) -> http1.Response:
         """Return the metrics."""
-        self.metrics.set_gauge("flows", len(self.decisions.flows))
+        self.metrics.set_gauge("flows", len(self.dispatcher.flows))
         self.metrics.set_gauge("peers", len(self.peers.list_live(self.clock())))
         self.metrics.set_gauge(
-            "configuration_version", self.decisions.configuration.version
+            "configuration_version", self.dispatcher.configuration.version
         )
-        self.metrics.set_gauge("upstreams_revision", self.decisions.directory.revision)
+        self.metrics.set_gauge("upstreams_revision", self.dispatcher.directory.revision)
         self.metrics.set_gauge("log_lines_dropped", self.count_dropped())
         headers = {"Content-Type": metrics.CONTENT_TYPE}
         return http1.Response(200, headers, self.metrics.render())
@@ -202,10 +200,10 @@
         return self.log_stream.dropped
 
     async def keep_ticking(self) -> None:
-        """Let the decisions know that time passes."""
+        """Let the dispatcher know that time passes."""
         while not self.stopped.is_set():
             await asyncio.sleep(TICK_S)
-            if self.presence.state != "starting":
+            if self.serving.state != "starting":
                 # Packets that waited while this process did not run go first.
                 self.plane.receive()
             try:
@@ -217,17 +215,17 @@
 
     def tick(self, now: float) -> None:
         """Judge silence, start probes, report to the peers, end a stop."""
-        services = self.decisions.configuration.services
-        for upstream in self.decisions.tick(now):
+        services = self.dispatcher.configuration.services
+        for upstream in self.dispatcher.tick(now):
             path = services[upstream.service].health_path
             self.start_task(self.probe(upstream, path))
         self.plane.carry_out_orders()
-        unserved = self.decisions.find_unserved()
+        unserved = self.dispatcher.find_unserved()
         if unserved != self.unserved:
             self.unserved = unserved
             jsonlog.log_event("unserved services", services=unserved)
         self.report(now)
-        if self.presence.state == "leaving":
+        if self.serving.state == "leaving":
             self.check_stop(now)
 
     def report(self, now: float) -> None:
@@ -238,7 +236,7 @@
         recipients = self.peers.list_recipients(self.sequence)
         if waited_s < REPORT_MIN_S + REPORT_SQUARE_S * len(recipients) ** 2:
             return
-        loads = self.decisions.evidence.list_loads()
+        loads = self.dispatcher.monitor.list_loads()
         if loads == self.last_loads and waited_s < REPORT_IDLE_S:
             return
         self.last_loads = loads
@@ -246,29 +244,29 @@
         self.sequence += 1
         known = [peer.address for peer in self.peers.list_live(now)]
         start = self.sequence % max(1, len(known))
-        report = neighbours.Report(
+        report = peertable.Report(
             self.settings.name,
             self.settings.zone,
             self.settings.peers,
             self.start_ms,
             self.sequence,
-            bool(self.following.watching),
-            self.following.is_lost(now),
-            self.presence.state == "leaving",
+            bool(self.sync.watching),
+            self.sync.is_lost(now),
+            self.serving.state == "leaving",
             self.settings.capacity,
-            self.decisions.directory.changed,
-            self.decisions.configuration.version,
+            self.dispatcher.directory.changed,
+            self.dispatcher.configuration.version,
             loads,
             # Each report passes on a few peers, so that all learn of all.
             tuple(known[start : start + PEERS_PASSED_ON]),
         )
         self.reports.send(report, recipients)
 
-    def receive_report(self, report: neighbours.Report) -> None:
+    def receive_report(self, report: peertable.Report) -> None:
         """Take a peer's report."""
         if report.name not in self.peers.peers and report.name != self.settings.name:
             jsonlog.log_event("peer found", peer=report.name, peer_zone=report.zone)
-        self.decisions.hear_peer(report, self.clock())
+        self.dispatcher.hear_peer(report, self.clock())
 
     async def probe(self, upstream: directory.Upstream, path: str) -> None:
         """Ask an upstream for its health."""
@@ -289,15 +287,15 @@
         finally:
             connection.close()
         self.metrics.count("probes", outcome=outcome)
-        self.decisions.record_probe(upstream, outcome, detail, self.clock())
+        self.dispatcher.record_probe(upstream, outcome, detail, self.clock())
         self.plane.carry_out_orders()
 
     def request_stop(self) -> None:
         """Leave the rotation; packets are forwarded until they no longer arrive."""
-        if self.presence.state in ("leaving", "stopped"):
+        if self.serving.state in ("leaving", "stopped"):
             return
         self.stop_requested_at = self.clock()
-        self.presence.signals.request_stop()
+        self.serving.signals.request_stop()
         jsonlog.log_event("stop requested", stop_s=self.settings.stop_s)
 
     def check_stop(self, now: float) -> None:
@@ -305,7 +303,7 @@
         waited_s = now - self.stop_requested_at
         quiet = waited_s > ROTATION_S and now - self.plane.received_at > QUIET_S
         if quiet or waited_s > self.settings.stop_s - STOP_MARGIN_S:
-            self.presence.signals.finish()
+            self.serving.signals.finish()
             self.stopped.set()
 
     async def poll_settings(self) -> None:
--- a/src/pistachioshed/apps/following.py
+++ b/src/pistachioshed/apps/statesync.py
@@ -1,4 +1,4 @@
-"""Where a forwarder gets its beliefs from: the store, or a peer that follows it."""
+"""Where a forwarder gets its state from: the store, or a peer that follows it."""
 
 import asyncio
 import math
@@ -6,8 +6,8 @@
 import typing
 from collections import abc
 
-from pistachioshed.adapters import beliefs, feed, http1, jsonlog
-from pistachioshed.core import directory, neighbours, steering
+from pistachioshed.adapters import feed, http1, jsonlog, statemessages
+from pistachioshed.core import directory, dispatch, peertable
 from pistachioshed.platform import records, storeclient
 from pistachioshed.ports import store
 
@@ -27,7 +27,7 @@
 ]
 
 
-class Following:
+class StateSync:
     """Owns the connections to the store and to the watcher of the zone.
 
     Parameters
@@ -36,12 +36,12 @@
         This forwarder.
     store_address : tuple of str and int
         The platform's store.
-    decisions : Steering
+    dispatcher : Dispatcher
         Takes configuration and upstreams.
     start_task : callable
         Runs a coroutine as a task of the process.
     note_change : callable
-        Called after beliefs were taken.
+        Called after an update was taken.
     count : callable
         Counts by name and labels.
     clock : callable
@@ -52,7 +52,7 @@
         self,
         name: str,
         store_address: Address,
-        decisions: steering.Steering,
+        dispatcher: dispatch.Dispatcher,
         start_task: StartTask,
         note_change: abc.Callable[[], None],
         count: abc.Callable[..., None],
@@ -60,8 +60,8 @@
     ) -> None:
         self.name = name
         self.store_address = store_address
-        self.decisions = decisions
-        self.peers = decisions.peers
+        self.dispatcher = dispatcher
+        self.peers = dispatcher.peers
         self.start_task = start_task
         self.note_change = note_change
         self.count = count
@@ -143,8 +143,8 @@
                         connection.close()
                     connection = http1.Connection(watcher.address)
                 try:
-                    await self.fetch(connection, watcher.name, beliefs.WAIT_S)
-                except beliefs.BeliefsError as error:
+                    await self.fetch(connection, watcher.name, statemessages.WAIT_S)
+                except statemessages.StateMessageError as error:
                     self.note_fetch_failure(watcher.name, error)
                     self.may_watch.set()
                     self.start_watching()
@@ -155,7 +155,7 @@
             if connection is not None:
                 connection.close()
 
-    def find_watcher(self) -> neighbours.Report | None:
+    def find_watcher(self) -> peertable.Report | None:
         """Return a live watcher of the zone; followers share them by their names."""
         now = self.clock()
         names = self.peers.list_watchers(self.is_lost(now), now)
@@ -173,30 +173,31 @@
         connection: http1.Connection,
         peer: str,
         wait_s: float,
-        timeout_s: float = beliefs.REQUEST_TIMEOUT_S,
+        timeout_s: float = statemessages.REQUEST_TIMEOUT_S,
     ) -> None:
-        """Take what a peer knows beyond this balancer's beliefs."""
-        decisions = self.decisions
-        newest = await beliefs.fetch_beliefs(
+        """Take what a peer knows beyond this balancer."""
+        newest = await statemessages.fetch_update(
             connection,
-            decisions.directory.revision,
-            decisions.configuration.version,
+            self.dispatcher.directory.revision,
+            self.dispatcher.configuration.version,
             wait_s,
             timeout_s,
         )
-        self.count("belief_fetches", peer=peer)
-        beliefs.apply_beliefs(decisions, newest, self.clock())
+        self.count("state_fetches", peer=peer)
+        statemessages.apply_update(self.dispatcher, newest, self.clock())
         self.take_change()
 
     def note_fetch_failure(self, peer: str, error: Exception) -> None:
-        """Log that a peer did not pass its beliefs on."""
-        self.count("belief_failures", peer=peer)
+        """Log that a peer did not pass its state on."""
+        self.count("state_fetch_failures", peer=peer)
         jsonlog.log_failure("peer lost", peer=peer, cause=str(error))
 
     async def catch_up(self, now: float) -> None:
         """Ask a peer that has known more for some time, whatever the own source."""
         choices = self.peers.list_newer(
-            self.decisions.directory.changed, self.decisions.configuration.version, now
+            self.dispatcher.directory.changed,
+            self.dispatcher.configuration.version,
+            now,
         )
         if not choices:
             self.behind_since = None
@@ -211,21 +212,21 @@
         jsonlog.log_event(
             "catches up",
             peer=newer.name,
-            upstreams=self.decisions.directory.changed,
-            configuration=self.decisions.configuration.version,
+            upstreams=self.dispatcher.directory.changed,
+            configuration=self.dispatcher.configuration.version,
         )
         connection = http1.Connection(newer.address)
         try:
             await self.fetch(connection, newer.name, 0.0, CATCH_UP_TIMEOUT_S)
-        except beliefs.BeliefsError as error:
+        except statemessages.StateMessageError as error:
             self.note_fetch_failure(newer.name, error)
         finally:
             connection.close()
 
-    async def answer_beliefs(self, request: http1.Request) -> http1.Response:
+    async def answer_state(self, request: http1.Request) -> http1.Response:
         """Pass on what a peer does not know yet, as soon as there is anything."""
         try:
-            revision, version, wait_s = beliefs.parse_query(request.target)
+            revision, version, wait_s = statemessages.parse_query(request.target)
         except ValueError as error:
             return http1.Response(400, {}, str(error).encode())
         deadline = self.clock() + wait_s
@@ -240,14 +241,14 @@
             except TimeoutError:
                 # The peer gets an answer without changes and asks again.
                 break
-        body = beliefs.collect_beliefs(self.decisions, revision, version)
-        return http1.Response(200, {"Content-Type": beliefs.CONTENT_TYPE}, body)
+        body = statemessages.collect_update(self.dispatcher, revision, version)
+        return http1.Response(200, {"Content-Type": statemessages.CONTENT_TYPE}, body)
 
     def knows_more(self, revision: int, version: int) -> bool:
         """Tell whether there are changes after a revision or a version."""
         return (
-            self.decisions.directory.changed > revision
-            or self.decisions.configuration.version > version
+            self.dispatcher.directory.changed > revision
+            or self.dispatcher.configuration.version > version
         )
 
     def build_feed(self, name: str, prefix: str, deliver: feed.Deliver) -> feed.Feed:
@@ -275,7 +276,7 @@
                     cause=str(error),
                 )
                 continue
-            self.decisions.configure(configuration, self.clock())
+            self.dispatcher.configure(configuration, self.clock())
         self.take_change()
 
     def take_upstreams(self, batch: store.WatchBatch) -> None:
@@ -294,7 +295,7 @@
                         cause=str(error),
                     )
             changes.append(directory.Change(name, upstream, event.mod_revision))
-        self.decisions.update_directory(
+        self.dispatcher.update_directory(
             changes, batch.revision, batch.snapshot, self.clock()
         )
         self.take_change()
--- a/src/pistachioshed/core/steering.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -11,9 +11,9 @@
 
 from pistachioshed.core import (
     directory,
-    evidence,
-    neighbours,
-    outlook,
+    monitor,
+    passivehealth,
+    peertable,
     routing,
     segments,
     selection,
@@ -38,7 +38,7 @@
 PAUSE_S: typing.Final = 0.1
 # One connection may be lost; with two in a row and silent flows the host is gone.
 PROBES_SILENT: typing.Final = 2
-# Twenty responses outweigh what was known; a route has about ten a second.
+# Twenty responses outweigh what was health; a route has about ten a second.
 LATENCY_GAIN: typing.Final = 0.05
 SWEEP_INTERVAL_S: typing.Final = 0.5  # A third of the users' shortest time limit.
 FLOWS_MAX: typing.Final = 100_000  # About 30 MB; a machine of the users has 114 MB.
@@ -46,17 +46,17 @@
 HALF_SEQUENCE_RANGE: typing.Final = 2**31
 
 
-class Steering:
+class Dispatcher:
     """Decisions about packets, from what is believed and what passes.
 
     Parameters
     ----------
     zone : str
         The availability zone of this balancer.
-    peers : Neighbours
+    peers : PeerTable
         Loads and suspicions of the other balancers.
     record : callable
-        Takes decisions and changes of belief for the log.
+        Takes decisions and changes of state for the log.
     observe : callable
         Takes the latencies of responses for the metrics.
     seed : int
@@ -66,7 +66,7 @@
     def __init__(
         self,
         zone: str,
-        peers: neighbours.Neighbours,
+        peers: peertable.PeerTable,
         record: segments.Record,
         observe: segments.Observe,
         seed: int,
@@ -84,12 +84,12 @@
         self.pending: dict[segments.FlowKey, segments.Flow] = {}
         self.waiting: dict[segments.FlowKey, segments.Flow] = {}
         self.waited_at = 0.0
-        self.evidence = evidence.Evidence(self.directory, peers, record)
+        self.monitor = monitor.HealthMonitor(self.directory, peers, record)
         self.latency_s: dict[str, float] = {}
         self.ticked_at = 0.0
         self.swept_at = 0.0
         self.judge_from = 0.0
-        self.cut_zones: set[str] = set()
+        self.partitioned_zones: set[str] = set()
         self.orders: list[segments.Order] = []
 
     def handle(
@@ -127,9 +127,9 @@
         for update in self.directory.apply(changes, revision, snapshot, now):
             self._record_update(update)
             if update.outcome == "restarted":
-                self._abandon(update.name, "its upstream has restarted")
+                self._end_flows(update.name, "its upstream has restarted")
 
-    def hear_peer(self, report: neighbours.Report, now: float) -> bool:
+    def hear_peer(self, report: peertable.Report, now: float) -> bool:
         """Take a peer's report; return False if it is an old one."""
         if not self.peers.record(report, now):
             return False
@@ -137,14 +137,14 @@
             upstream = self.directory.by_token.get(entry.token)
             if not entry.suspected or upstream is None:
                 continue
-            known = self.evidence.find(upstream)
-            if now - known.heard_at <= PEER_SUSPICION_AGE_S:
+            health = self.monitor.find(upstream)
+            if now - health.heard_at <= PEER_SUSPICION_AGE_S:
                 continue
             if report.zone == self.zone:
-                self.evidence.suspect(upstream, known, report.name, now)
-            elif now - known.doubted_at > evidence.PROBE_INTERVAL_S:
+                self.monitor.suspect(upstream, health, report.name, now)
+            elif now - health.probe_requested_at > monitor.PROBE_INTERVAL_S:
                 # A peer of another zone may be cut off from the upstream itself.
-                known.doubt(now)
+                health.request_probe(now)
         return True
 
     def tick(self, now: float) -> list[directory.Upstream]:
@@ -167,8 +167,8 @@
             self._sweep(now)
         services = self.configuration.services
         return [
-            *self.evidence.list_probes(self.cut_zones, services, now),
-            *self.evidence.list_zone_probes(silent_zones, services, now),
+            *self.monitor.list_probes(self.partitioned_zones, services, now),
+            *self.monitor.list_zone_probes(silent_zones, services, now),
         ]
 
     def record_probe(
@@ -179,27 +179,30 @@
         now: float,
     ) -> None:
         """Take the result of a health check of a suspected upstream."""
-        known = self.evidence.find(upstream)
-        since = known.suspected_at
-        known.probing = False
+        health = self.monitor.find(upstream)
+        since = health.suspected_at
+        health.probing = False
         if outcome not in ("silent", "refused"):
-            known.answered_at = now
-        if known.record_probe(outcome == "passed", outcome == "silent", now):
+            health.answered_at = now
+        if health.record_probe(outcome == "passed", outcome == "silent", now):
             self.record(
                 "upstream trusted",
                 upstream=upstream.name,
-                evidence="probe",
+                cause="probe",
                 outcome=detail,
                 suspected_s=round(now - (since or now), 3),
             )
-        if outcome in ("passed", "busy") or known.heard_at >= known.doubted_at:
+        if (
+            outcome in ("passed", "busy")
+            or health.heard_at >= health.probe_requested_at
+        ):
             return
-        self.evidence.suspect(upstream, known, detail, now)
+        self.monitor.suspect(upstream, health, detail, now)
         if outcome == "refused":
-            self._abandon(upstream.name, "its upstream has ended")
-        elif outcome == "silent" and known.silent_probes >= PROBES_SILENT:
-            if upstream.zone not in self.cut_zones:
-                self._abandon(upstream.name, "its upstream is silent")
+            self._end_flows(upstream.name, "its upstream has ended")
+        elif outcome == "silent" and health.silent_probes >= PROBES_SILENT:
+            if upstream.zone not in self.partitioned_zones:
+                self._end_flows(upstream.name, "its upstream is silent")
 
     def find_unserved(self) -> list[str]:
         """Return the routed services of which every upstream is silent."""
@@ -207,7 +210,7 @@
         for service in self.configuration.services:
             upstreams = self.directory.list_service(service)
             if upstreams and all(
-                self.evidence.find(upstream).suspected_at is not None
+                self.monitor.find(upstream).suspected_at is not None
                 for upstream in upstreams
             ):
                 unserved.append(service)
@@ -251,7 +254,7 @@
         if now - flow.placed_at < OPENING_MOVED_S:
             return segments.Forward(flow.upstream, mark=True)
         if self._may_judge(now):
-            self.evidence.note_silence(
+            self.monitor.note_silence(
                 flow.upstream, flow.placed_at, "repeated opening", now
             )
         return self._move_opening(key, flow, segment, now)
@@ -279,8 +282,8 @@
 
     def _is_answering(self, flow: segments.Flow) -> bool:
         """Tell whether the upstream answered others since it got this opening."""
-        known = self.evidence.find(flow.upstream)
-        is_alive = known.heard_at >= flow.placed_at
+        health = self.monitor.find(flow.upstream)
+        is_alive = health.heard_at >= flow.placed_at
         return is_alive and flow.upstream.name in self.directory.upstreams
 
     def _place(
@@ -292,9 +295,9 @@
         now: float,
     ) -> None:
         self._count(flow)
-        known = self.evidence.find(chosen.upstream)
-        if known.suspected_at is not None:
-            known.record_trial(now)
+        health = self.monitor.find(chosen.upstream)
+        if health.suspected_at is not None:
+            health.record_trial(now)
         self.pending.pop(key, None)
         self.pending[key] = flow
         self.record(
@@ -304,7 +307,7 @@
             upstream=chosen.upstream.name,
             outstanding=chosen.outstanding,
             slowness=round(chosen.slowness, 2),
-            doubts=tuple(map(int, chosen.tier)),
+            tier=tuple(map(int, chosen.tier)),
             copy=segment.copy,
             configuration=self.configuration.version,
             upstreams=self.directory.revision,
@@ -341,16 +344,16 @@
     def _assess(
         self, upstream: directory.Upstream, tried: abc.Sequence[str], now: float
     ) -> selection.Candidate:
-        known = self.evidence.find(upstream)
+        health = self.monitor.find(upstream)
         return selection.Candidate(
             upstream,
-            known.outstanding + self.peers.count_outstanding(upstream.token),
-            known.slowness,
+            health.outstanding + self.peers.count_outstanding(upstream.token),
+            health.slowness,
             self.directory.is_cold(upstream, now),
             selection.Tier(
                 tried.count(upstream.name),
-                known.suspected_at is not None and not known.may_try(now),
-                upstream.zone in self.cut_zones,
+                health.suspected_at is not None and not health.may_try(now),
+                upstream.zone in self.partitioned_zones,
                 upstream.name in self.directory.lapsed_at,
             ),
         )
@@ -389,19 +392,19 @@
         now: float,
     ) -> None:
         """Learn from a packet of a flow that this balancer placed."""
-        known = self.evidence.find(flow.upstream)
+        health = self.monitor.find(flow.upstream)
         flow.seen_at = now
         if not flow.opened:
             flow.opened = True
             flow.acknowledged = segment.acknowledged
             self.pending.pop(key, None)
-            self.evidence.note_life(flow.upstream, known, now)
+            self.monitor.note_life(flow.upstream, health, now)
         elif _is_after(segment.acknowledged, flow.acknowledged):
             flow.acknowledged = segment.acknowledged
-            self.evidence.note_life(flow.upstream, known, now)
+            self.monitor.note_life(flow.upstream, health, now)
             if flow.counted:
                 self._uncount(flow)
-                self._learn_latency(flow, known, now)
+                self._learn_latency(flow, health, now)
         if segment.length:
             self._observe_data(key, flow, segment, now)
         if segment.closing or segment.reset:
@@ -421,15 +424,15 @@
             if not flow.counted:
                 self._count(flow)
         elif now - flow.asked_at > REPEAT_MIN_S and self._may_judge(now):
-            self.evidence.note_silence(
+            self.monitor.note_silence(
                 flow.upstream, flow.asked_at, "repeated data", now
             )
-            unreachable = flow.upstream.zone in self.cut_zones
+            unreachable = flow.upstream.zone in self.partitioned_zones
             if unreachable and flow.route.kind != "unsafe":
-                self._give_up(key, flow, "its upstream can not be reached")
+                self._reset_flow(key, flow, "its upstream can not be reached")
 
     def _learn_latency(
-        self, flow: segments.Flow, known: outlook.Outlook, now: float
+        self, flow: segments.Flow, health: passivehealth.PassiveHealth, now: float
     ) -> None:
         latency_s = now - flow.asked_at
         self.observe(flow.route.name, latency_s)
@@ -442,17 +445,17 @@
         )
         slots = flow.upstream.slots
         others = self.peers.count_outstanding(flow.upstream.token)
-        if known.outstanding + others < slots:
+        if health.outstanding + others < slots:
             # With more in progress the latency is that of the queue.
-            known.record_latency(latency_s / max(typical_s, 0.001))
+            health.record_latency(latency_s / max(typical_s, 0.001))
 
     def _judge_zones(self, silent_zones: set[str], now: float) -> None:
         """Take a zone as cut off when neither balancers nor upstreams answer."""
-        since = now - neighbours.SILENT_AFTER_S
-        cut_zones = self.evidence.find_cut_zones(silent_zones, since)
-        if cut_zones != self.cut_zones:
-            self.cut_zones = cut_zones
-            self.record("zones cut off", zones=sorted(cut_zones))
+        since = now - peertable.SILENT_AFTER_S
+        partitioned_zones = self.monitor.find_partitioned_zones(silent_zones, since)
+        if partitioned_zones != self.partitioned_zones:
+            self.partitioned_zones = partitioned_zones
+            self.record("zones partitioned", zones=sorted(partitioned_zones))
 
     def _judge_openings(self, now: float) -> None:
         """Hold openings against silent upstreams; repeat them, then move them.
@@ -473,7 +476,7 @@
                 flow.repeated = True
                 if not flow.tried:
                     # The caller of a moved opening may have given up.
-                    self.evidence.note_silence(
+                    self.monitor.note_silence(
                         flow.upstream, flow.placed_at, "no handshake", now
                     )
                 self._order(segments.Forward(flow.upstream, mark=True), flow)
@@ -491,18 +494,18 @@
             allowed_s = max(RESPONSE_OVERDUE_S, RESPONSE_OVERDUE_FACTOR * typical_s)
             if now - flow.asked_at > allowed_s:
                 flow.overdue = True
-                known = self.evidence.find(flow.upstream)
+                health = self.monitor.find(flow.upstream)
                 # Late responses of a host that answers others mean load, not silence.
-                if now - known.heard_at > allowed_s:
-                    known.doubt(now)
+                if now - health.heard_at > allowed_s:
+                    health.request_probe(now)
 
     def _order(
         self, action: segments.Forward | segments.Refuse, flow: segments.Flow
     ) -> None:
         self.orders.append(segments.Order(action, flow.segment, flow.packet))
 
-    def _abandon(self, name: str, reason: str) -> None:
-        """Give up the flows of an upstream that is known to have ended.
+    def _end_flows(self, name: str, reason: str) -> None:
+        """Give up the flows of an upstream that is health to have ended.
 
         Callers may repeat these requests, and are told at once instead of at their
         deadline. Requests that may run only once are left to their callers.
@@ -514,13 +517,15 @@
                 # The machine has reset it: its caller is trying again with another one.
                 self._forget(key, flow)
             elif flow.route.kind != "unsafe":
-                self._give_up(key, flow, reason)
+                self._reset_flow(key, flow, reason)
 
-    def _give_up(self, key: segments.FlowKey, flow: segments.Flow, reason: str) -> None:
+    def _reset_flow(
+        self, key: segments.FlowKey, flow: segments.Flow, reason: str
+    ) -> None:
         """Reset an open flow."""
         last = flow.segment._replace(acknowledged=flow.acknowledged, opening=False)
         self.record(
-            "given up",
+            "flow reset",
             segment=last,
             route=flow.route.name,
             upstream=flow.upstream.name,
@@ -538,20 +543,20 @@
                 self._forget(key, flow)
             elif flow.counted and quiet_s > flow.route.timeout_s:
                 self._uncount(flow)
-        self.evidence.forget()
+        self.monitor.forget()
 
     def _count(self, flow: segments.Flow) -> None:
         flow.counted = True
         flow.overdue = False
         self.waiting[flow.key] = flow
-        self.evidence.find(flow.upstream).outstanding += 1
+        self.monitor.find(flow.upstream).outstanding += 1
 
     def _uncount(self, flow: segments.Flow) -> None:
         if flow.counted:
             flow.counted = False
             self.waiting.pop(flow.key, None)
-            known = self.evidence.find(flow.upstream)
-            known.outstanding = max(0, known.outstanding - 1)
+            health = self.monitor.find(flow.upstream)
+            health.outstanding = max(0, health.outstanding - 1)
 
     def _forget(self, key: segments.FlowKey, flow: segments.Flow) -> None:
         self._uncount(flow)
--- a/src/pistachioshed/core/evidence.py
+++ b/src/pistachioshed/core/monitor.py
@@ -3,7 +3,7 @@
 import typing
 from collections import abc
 
-from pistachioshed.core import directory, neighbours, outlook, segments
+from pistachioshed.core import directory, passivehealth, peertable, segments
 
 PROBE_INTERVAL_S: typing.Final = 0.5  # The interval at which the users' fabric probes.
 
@@ -11,48 +11,48 @@
 """Name and start of an upstream: a restarted one knows nothing of before."""
 
 
-class Evidence:
-    """The outlook of each registered upstream.
+class HealthMonitor:
+    """The passivehealth of each registered upstream.
 
     Parameters
     ----------
     known : Directory
         The registered upstreams.
-    peers : Neighbours
+    peers : PeerTable
         Tells a peer's suspicion from this balancer's own known.
     record : callable
-        Takes changes of belief for the log.
+        Takes changes of state for the log.
     """
 
     def __init__(
         self,
         known: directory.Directory,
-        peers: neighbours.Neighbours,
+        peers: peertable.PeerTable,
         record: segments.Record,
     ) -> None:
         self.directory = known
         self.peers = peers
         self.record = record
-        self.outlooks: dict[Incarnation, outlook.Outlook] = {}
+        self.health: dict[Incarnation, passivehealth.PassiveHealth] = {}
 
-    def find(self, upstream: directory.Upstream) -> outlook.Outlook:
+    def find(self, upstream: directory.Upstream) -> passivehealth.PassiveHealth:
         """Return what is known of an upstream since its last start."""
         incarnation = (upstream.name, upstream.born_ms)
-        known = self.outlooks.get(incarnation)
-        if known is None:
-            known = self.outlooks[incarnation] = outlook.Outlook()
-        return known
+        health = self.health.get(incarnation)
+        if health is None:
+            health = self.health[incarnation] = passivehealth.PassiveHealth()
+        return health
 
-    def list_loads(self) -> tuple[neighbours.UpstreamLoad, ...]:
+    def list_loads(self) -> tuple[peertable.UpstreamLoad, ...]:
         """Return this balancer's own outstanding requests and suspicions."""
         loads = []
-        for incarnation, known in self.outlooks.items():
+        for incarnation, health in self.health.items():
             upstream = self._find_current(incarnation)
-            suspected = known.suspected_at is not None and known.own
-            if upstream is not None and (known.outstanding or suspected):
+            suspected = health.suspected_at is not None and health.own
+            if upstream is not None and (health.outstanding or suspected):
                 loads.append(
-                    neighbours.UpstreamLoad(
-                        upstream.token, known.outstanding, suspected
+                    peertable.UpstreamLoad(
+                        upstream.token, health.outstanding, suspected
                     )
                 )
         return tuple(loads)
@@ -61,47 +61,52 @@
         self, upstream: directory.Upstream, since: float, cause: str, now: float
     ) -> None:
         """Doubt an upstream for one silent flow, suspect it for a second."""
-        known = self.find(upstream)
-        if known.record_strike(since, now):
-            self.suspect(upstream, known, cause, now)
+        health = self.find(upstream)
+        if health.record_failure(since, now):
+            self.suspect(upstream, health, cause, now)
 
     def note_life(
-        self, upstream: directory.Upstream, known: outlook.Outlook, now: float
+        self,
+        upstream: directory.Upstream,
+        health: passivehealth.PassiveHealth,
+        now: float,
     ) -> None:
         """Note a sign of life, which ends a suspicion."""
-        since = known.suspected_at
-        if known.record_life(now):
+        since = health.suspected_at
+        if health.record_life(now):
             self.record(
                 "upstream trusted",
                 upstream=upstream.name,
-                evidence="flow",
+                cause="flow",
                 suspected_s=round(now - (since or now), 3),
             )
 
     def suspect(
         self,
         upstream: directory.Upstream,
-        known: outlook.Outlook,
+        health: passivehealth.PassiveHealth,
         cause: str,
         now: float,
     ) -> None:
         """Suspect an upstream; `cause` is a peer or what was seen."""
-        if known.suspect(cause not in self.peers.peers, now):
+        if health.suspect(cause not in self.peers.peers, now):
             self.record(
                 "upstream suspected",
                 upstream=upstream.name,
-                evidence=cause,
-                silent_s=round(min(now - known.heard_at, 999.0), 3),
-                strikes=known.strikes,
+                cause=cause,
+                silent_s=round(min(now - health.heard_at, 999.0), 3),
+                failures=health.failures,
                 upstreams=self.directory.revision,
             )
 
-    def find_cut_zones(self, silent_zones: abc.Iterable[str], since: float) -> set[str]:
+    def find_partitioned_zones(
+        self, silent_zones: abc.Iterable[str], since: float
+    ) -> set[str]:
         """Return the silent zones of which no upstream was heard of since a time."""
         heard = {
             upstream.zone
-            for incarnation, known in self.outlooks.items()
-            if known.answered_at >= since
+            for incarnation, health in self.health.items()
+            if health.answered_at >= since
             and (upstream := self._find_current(incarnation)) is not None
         }
         return set(silent_zones) - heard
@@ -127,23 +132,26 @@
         return due
 
     def list_probes(
-        self, cut_zones: abc.Container[str], services: abc.Container[str], now: float
+        self,
+        partitioned_zones: abc.Container[str],
+        services: abc.Container[str],
+        now: float,
     ) -> list[directory.Upstream]:
         """Return the upstreams to probe now, outside of zones that are cut off."""
         due = []
-        for incarnation, known in self.outlooks.items():
+        for incarnation, health in self.health.items():
             upstream = self._find_current(incarnation)
             if upstream is None or upstream.draining:
                 continue
-            if upstream.zone in cut_zones:
+            if upstream.zone in partitioned_zones:
                 continue
             if upstream.service not in services:
                 continue
-            doubted = known.doubted_at > known.probed_at
-            waited = now - known.probed_at >= PROBE_INTERVAL_S
-            again = known.silent_probes == 1
-            if not known.probing and (
-                doubted or again or (known.suspected_at is not None and waited)
+            doubted = health.probe_requested_at > health.probed_at
+            waited = now - health.probed_at >= PROBE_INTERVAL_S
+            again = health.silent_probes == 1
+            if not health.probing and (
+                doubted or again or (health.suspected_at is not None and waited)
             ):
                 self._start_probe(upstream, now)
                 due.append(upstream)
@@ -151,14 +159,14 @@
 
     def forget(self) -> None:
         """Forget the upstreams that are no longer registered."""
-        for incarnation in list(self.outlooks):
+        for incarnation in list(self.health):
             if self._find_current(incarnation) is None:
-                del self.outlooks[incarnation]
+                del self.health[incarnation]
 
     def _start_probe(self, upstream: directory.Upstream, now: float) -> None:
-        known = self.find(upstream)
-        known.probing = True
-        known.probed_at = now
+        health = self.find(upstream)
+        health.probing = True
+        health.probed_at = now
 
     def _find_current(self, incarnation: Incarnation) -> directory.Upstream | None:
         """Return the registered upstream, unless it has started anew since."""
--- a/src/pistachioshed/core/outlook.py
+++ b/src/pistachioshed/core/passivehealth.py
@@ -18,10 +18,10 @@
 # A suspicion this long after the previous one is a new matter.
 HOLD_RESET_S: typing.Final = 10.0
 # One silent opening may be a lost packet, or a flow that moved to another balancer.
-STRIKES_MAX: typing.Final = 2
+FAILURES_MAX: typing.Final = 2
 
 
-class Outlook:
+class PassiveHealth:
     """Evidence about one incarnation of an upstream.
 
     `outstanding` counts the requests that this balancer sent it and that have no
@@ -29,8 +29,8 @@
     of all upstreams of the service. `heard_at` is the time of its last sign of life on
     a flow and `answered_at` that of the last one at all;
     `suspected_at` when silence was last held against it, None while it is trusted.
-    `strikes` counts the flows that fell silent since, `doubted_at` is when one
-    last did. `own` tells whether the suspicion rests on own evidence and
+    `failures` counts the flows that fell silent since, `probe_requested_at` is when one
+    last did. `own` tells whether the suspicion rests on what it saw itself and
     `silent_probes` how many of its probes in a row found no machine that answers;
     `probing` is set while one is under way. `tried_at` is when it got a single flow
     while it was suspected, and `trial_s` the time until the next one.
@@ -38,16 +38,16 @@
 
     __slots__ = (
         "answered_at",
-        "doubted_at",
+        "failures",
         "heard_at",
         "hold_s",
         "outstanding",
         "own",
+        "probe_requested_at",
         "probed_at",
         "probing",
         "silent_probes",
         "slowness",
-        "strikes",
         "suspected_at",
         "trial_s",
         "tried_at",
@@ -65,8 +65,8 @@
         self.hold_s = HOLD_FIRST_S
         self.probed_at = -math.inf
         self.silent_probes = 0
-        self.strikes = 0
-        self.doubted_at = -math.inf
+        self.failures = 0
+        self.probe_requested_at = -math.inf
         self.probing = False
         self.tried_at = -math.inf
         self.trial_s = TRIAL_FIRST_S
@@ -74,26 +74,26 @@
     def record_life(self, now: float) -> bool:
         """Note a sign of life; return whether that ended a suspicion."""
         self.heard_at = self.answered_at = now
-        self.strikes = 0
+        self.failures = 0
         if self.suspected_at is None:
             return False
         self._trust(now)
         return True
 
-    def record_strike(self, since: float, now: float) -> bool:
+    def record_failure(self, since: float, now: float) -> bool:
         """Note a flow that is silent since a time; return whether that is one too many.
 
         A sign of life after that time outweighs the silence.
         """
         if self.heard_at >= since:
             return False
-        self.doubt(now)
-        self.strikes += 1
-        return self.strikes >= STRIKES_MAX
+        self.request_probe(now)
+        self.failures += 1
+        return self.failures >= FAILURES_MAX
 
-    def doubt(self, now: float) -> None:
+    def request_probe(self, now: float) -> None:
         """Ask for a probe."""
-        self.doubted_at = now
+        self.probe_requested_at = now
 
     def suspect(self, own: bool, now: float) -> bool:
         """Suspect the upstream; return whether it was trusted until now."""
@@ -142,6 +142,6 @@
     def _trust(self, now: float) -> None:
         self.suspected_at = None
         self.silent_probes = 0
-        self.strikes = 0
+        self.failures = 0
         self.own = False
         self.trusted_at = now
--- a/src/pistachioshed/core/neighbours.py
+++ b/src/pistachioshed/core/peertable.py
@@ -61,7 +61,7 @@
         self.heard_at = heard_at
 
 
-class Neighbours:
+class PeerTable:
     """Peers by name, the sum of their loads, and the zones that answer.
 
     `addresses` holds where reports are sent, also before the first one is received.
@@ -172,7 +172,7 @@
         return [name for _, _, name in sorted(ranked)[:most]]
 
     def list_newer(self, changed: int, version: int, now: float) -> list[Report]:
-        """Return the reports of live peers that show newer beliefs than these."""
+        """Return the reports of live peers that show newer state than this."""
         return [
             report
             for report in self.list_live(now)
--- a/tests/steeringbuilders.py
+++ b/tests/dispatchbuilders.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from pistachioshed.core import directory, neighbours, routing, segments, steering
+from pistachioshed.core import directory, dispatch, peertable, routing, segments
 
 CALLER: typing.Final = (0x64400007, 40001)
 TARGET: typing.Final = (0xC6120001, 443)
@@ -82,9 +82,9 @@
     return build_segment(**(values | changes))
 
 
-def build_report(name: str, **changes: typing.Any) -> neighbours.Report:
+def build_report(name: str, **changes: typing.Any) -> peertable.Report:
     """Return the first report of a peer of the same zone."""
-    report = neighbours.Report(
+    report = peertable.Report(
         name=name,
         zone="riga-a",
         address=("10.1.0.9", 7720),
@@ -103,7 +103,7 @@
 
 
 class Balancer:
-    """A `Steering` with its log, fed with packets at given times."""
+    """A `Dispatcher` with its log, fed with packets at given times."""
 
     def __init__(
         self,
@@ -112,11 +112,11 @@
     ) -> None:
         self.log: list[tuple[str, dict[str, typing.Any]]] = []
         self.latencies: list[float] = []
-        self.peers = neighbours.Neighbours("front-1", "riga-a", ())
-        self.steering = steering.Steering(
+        self.peers = peertable.PeerTable("front-1", "riga-a", ())
+        self.dispatcher = dispatch.Dispatcher(
             "riga-a", self.peers, self.record, self.observe, 1
         )
-        self.steering.configure(configuration or build_configuration(), 0.0)
+        self.dispatcher.configure(configuration or build_configuration(), 0.0)
         self.revision = 0
         self.register(*upstreams, snapshot=True)
 
@@ -137,7 +137,7 @@
             directory.Change(upstream.name, upstream, self.revision)
             for upstream in upstreams
         ]
-        self.steering.update_directory(changes, self.revision, snapshot, now)
+        self.dispatcher.update_directory(changes, self.revision, snapshot, now)
 
     def remove(self, *upstreams: directory.Upstream, now: float) -> None:
         """Deliver the removal of entries at the next revision."""
@@ -146,7 +146,7 @@
             directory.Change(upstream.name, None, self.revision)
             for upstream in upstreams
         ]
-        self.steering.update_directory(changes, self.revision, False, now)
+        self.dispatcher.update_directory(changes, self.revision, False, now)
 
     def open(self, port: int = CALLER[1], now: float = 0.0) -> directory.Upstream:
         """Open a flow and return its upstream."""
@@ -162,20 +162,20 @@
 
     def send(self, segment: segments.Segment, now: float = 0.0) -> segments.Action:
         """Handle a packet."""
-        return self.steering.handle(segment, b"packet", now)
+        return self.dispatcher.handle(segment, b"packet", now)
 
     def tick(self, now: float) -> list[directory.Upstream]:
         """Let time pass in steps in which the process counts as running."""
         due: list[directory.Upstream] = []
-        step = self.steering.ticked_at
+        step = self.dispatcher.ticked_at
         while step < now:
             step = min(now, step + 0.02)
-            due += self.steering.tick(step)
+            due += self.dispatcher.tick(step)
         return due
 
     def take_orders(self) -> list[segments.Order]:
         """Return what was ordered since the last call."""
-        orders, self.steering.orders = self.steering.orders, []
+        orders, self.dispatcher.orders = self.dispatcher.orders, []
         return orders
 
     def find_events(self, event: str) -> list[dict[str, typing.Any]]:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pistachioshed.core import directory
-from tests import steeringbuilders as build
+from tests import dispatchbuilders as build
 
 FIRST = build.build_upstream(1)
 SECOND = build.build_upstream(2)
--- a/tests/test_steering.py
+++ b/tests/test_dispatch.py
@@ -1,16 +1,16 @@
-"""The forwarder's decisions about packets."""
+"""The dispatcher's decisions about packets."""
 
 import pytest
 
 from pistachioshed.core import (
     directory,
-    neighbours,
-    outlook,
+    dispatch,
+    passivehealth,
+    peertable,
     routing,
     segments,
-    steering,
 )
-from tests import steeringbuilders as build
+from tests import dispatchbuilders as build
 
 FIRST = build.build_upstream(1)
 SECOND = build.build_upstream(2, zone="riga-b")
@@ -49,7 +49,7 @@
     """Guard against a configuration that cuts flows opened before it."""
     balancer = build.Balancer(FIRST)
     other = build.build_route(target=build.SHEETS_TARGET)
-    balancer.steering.configure(build.build_configuration(2, other), 1.0)
+    balancer.dispatcher.configure(build.build_configuration(2, other), 1.0)
     action = balancer.send(build.build_data(FIRST.token), 1.5)
     assert action == segments.Forward(FIRST, mark=False)
 
@@ -66,7 +66,7 @@
     if setting == "no route":
         segment = segment._replace(target=build.SHEETS_TARGET)
     elif setting == "no configuration":
-        balancer.steering.configuration = routing.EMPTY_CONFIGURATION
+        balancer.dispatcher.configuration = routing.EMPTY_CONFIGURATION
     else:
         balancer.register(FIRST._replace(draining=True))
     assert balancer.send(segment) == segments.Refuse(setting)
@@ -84,9 +84,9 @@
 def test_configuration_versions_never_fall() -> None:
     """Guard against a late answer of the store that brings an old version back."""
     balancer = build.Balancer(FIRST)
-    assert balancer.steering.configure(build.build_configuration(5), 1.0)
-    assert not balancer.steering.configure(build.build_configuration(4), 2.0)
-    assert balancer.steering.configuration.version == 5
+    assert balancer.dispatcher.configure(build.build_configuration(5), 1.0)
+    assert not balancer.dispatcher.configure(build.build_configuration(4), 2.0)
+    assert balancer.dispatcher.configuration.version == 5
 
 
 def test_copies_of_an_opening_stay_at_an_upstream_that_answers() -> None:
@@ -136,7 +136,7 @@
     balancer.tick(1.0)
     balancer.open(40000, now=1.0)
     balancer.open(40001, now=1.0)
-    balancer.steering.tick(5.0)
+    balancer.dispatcher.tick(5.0)
     assert balancer.find_events("upstream suspected") == []
 
 
@@ -153,9 +153,9 @@
     balancer.answer(FIRST, 40000, now=0.01)
     balancer.send(build.build_segment(target=book.target), 0.02)
     balancer.send(build.build_data(FIRST.token, target=book.target), 0.03)
-    evidence = balancer.steering.evidence.outlooks[FIRST.name, 1]
-    evidence.doubt(0.4)
-    balancer.steering.record_probe(FIRST, "refused", "no listener", 0.5)
+    health = balancer.dispatcher.monitor.health[FIRST.name, 1]
+    health.request_probe(0.4)
+    balancer.dispatcher.record_probe(FIRST, "refused", "no listener", 0.5)
     (order,) = balancer.take_orders()
     assert isinstance(order.action, segments.Refuse)
     assert order.segment.target == check.target
@@ -176,10 +176,10 @@
     balancer = build.Balancer(FIRST)
     balancer.open(now=0.0)
     balancer.answer(FIRST, now=0.01)
-    balancer.steering.evidence.outlooks[FIRST.name, 1].doubt(0.3)
-    balancer.steering.record_probe(FIRST, "silent", "timeout", 0.45)
+    balancer.dispatcher.monitor.health[FIRST.name, 1].request_probe(0.3)
+    balancer.dispatcher.record_probe(FIRST, "silent", "timeout", 0.45)
     assert balancer.take_orders() == []
-    balancer.steering.record_probe(FIRST, "silent", "timeout", 0.6)
+    balancer.dispatcher.record_probe(FIRST, "silent", "timeout", 0.6)
     assert len(balancer.take_orders()) == 1
 
 
@@ -188,12 +188,12 @@
     balancer = build.Balancer(FIRST)
     balancer.open(now=0.0)
     balancer.answer(FIRST, now=0.01)
-    balancer.steering.evidence.outlooks[FIRST.name, 1].suspect(True, 0.1)
+    balancer.dispatcher.monitor.health[FIRST.name, 1].suspect(True, 0.1)
     balancer.register(FIRST._replace(born_ms=2), now=0.2)
     restarted = balancer.open(40009, now=0.3)
-    evidence = balancer.steering.evidence.outlooks[restarted.name, 2]
-    assert evidence.suspected_at is None
-    assert evidence.outstanding == 1
+    health = balancer.dispatcher.monitor.health[restarted.name, 2]
+    assert health.suspected_at is None
+    assert health.outstanding == 1
     (order,) = balancer.take_orders()
     assert isinstance(order.action, segments.Refuse)
 
@@ -201,8 +201,8 @@
 def test_new_flows_avoid_the_upstream_that_peers_keep_busy() -> None:
     """Guard against balancers that all choose the same idle host."""
     balancer = build.Balancer(FIRST, SECOND._replace(zone="riga-a"))
-    loads = (neighbours.UpstreamLoad(FIRST.token, 3, False),)
-    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 0.0)
+    loads = (peertable.UpstreamLoad(FIRST.token, 3, False),)
+    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 0.0)
     placed = [balancer.open(port, now=0.0) for port in (40000, 40001)]
     assert {upstream.name for upstream in placed} == {SECOND.name}
 
@@ -210,11 +210,11 @@
 def test_a_suspicion_of_the_same_zone_counts_at_once() -> None:
     """Guard against a dead host that each balancer has to find out by itself."""
     balancer = build.Balancer(FIRST, SECOND)
-    loads = (neighbours.UpstreamLoad(FIRST.token, 0, True),)
-    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 1.0)
+    loads = (peertable.UpstreamLoad(FIRST.token, 0, True),)
+    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 1.0)
     placed = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
     assert placed == {SECOND}
-    assert balancer.steering.evidence.list_loads()[0].token == SECOND.token
+    assert balancer.dispatcher.monitor.list_loads()[0].token == SECOND.token
 
 
 def test_a_suspicion_of_a_host_that_has_just_answered_is_ignored() -> None:
@@ -222,8 +222,8 @@
     balancer = build.Balancer(FIRST)
     balancer.open(now=0.0)
     balancer.answer(FIRST, now=0.95)
-    loads = (neighbours.UpstreamLoad(FIRST.token, 0, True),)
-    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 1.0)
+    loads = (peertable.UpstreamLoad(FIRST.token, 0, True),)
+    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 1.0)
     assert balancer.find_events("upstream suspected") == []
 
 
@@ -240,21 +240,21 @@
 def test_a_suspicion_of_another_zone_is_checked_before_it_counts() -> None:
     """Guard against a zone that is cut off and makes the others shun its hosts."""
     balancer = build.Balancer(FIRST)
-    balancer.steering.evidence.outlooks.clear()
-    loads = (neighbours.UpstreamLoad(FIRST.token, 0, True),)
+    balancer.dispatcher.monitor.health.clear()
+    loads = (peertable.UpstreamLoad(FIRST.token, 0, True),)
     report = build.build_report("front-9", zone="riga-c", loads=loads)
-    balancer.steering.hear_peer(report, 1.0)
+    balancer.dispatcher.hear_peer(report, 1.0)
     assert balancer.find_events("upstream suspected") == []
-    assert balancer.steering.tick(1.02) == [FIRST]
+    assert balancer.dispatcher.tick(1.02) == [FIRST]
 
 
 def test_upstreams_of_a_silent_zone_are_the_last_choice() -> None:
     """Guard against openings sent into a zone that is cut off."""
     balancer = build.Balancer(FIRST, SECOND)
     report = build.build_report("front-9", zone="riga-b")
-    balancer.steering.hear_peer(report, 0.0)
+    balancer.dispatcher.hear_peer(report, 0.0)
     balancer.tick(1.0)
-    assert balancer.steering.cut_zones == {"riga-b"}
+    assert balancer.dispatcher.partitioned_zones == {"riga-b"}
     placed = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
     assert placed == {FIRST}
 
@@ -262,10 +262,10 @@
 def test_unserved_services_are_named() -> None:
     """Guard against a balancer without paths that stays in the rotation."""
     balancer = build.Balancer(FIRST, SHEETS)
-    assert balancer.steering.find_unserved() == []
+    assert balancer.dispatcher.find_unserved() == []
     balancer.open(now=0.0)
-    balancer.steering.evidence.outlooks[FIRST.name, 1].suspect(True, 0.1)
-    assert balancer.steering.find_unserved() == ["booking"]
+    balancer.dispatcher.monitor.health[FIRST.name, 1].suspect(True, 0.1)
+    assert balancer.dispatcher.find_unserved() == ["booking"]
 
 
 def test_outstanding_requests_return_to_zero() -> None:
@@ -281,19 +281,19 @@
             FIRST.token, caller=caller, sequence=1_201, acknowledged=900, closing=True
         )
         balancer.send(end, 0.04)
-    assert balancer.steering.evidence.outlooks[FIRST.name, 1].outstanding == 0
+    assert balancer.dispatcher.monitor.health[FIRST.name, 1].outstanding == 0
     assert balancer.latencies == pytest.approx([0.03] * 50)
-    assert balancer.steering.flows == {}
-    assert balancer.steering.waiting == {}
-    assert balancer.steering.pending == {}
+    assert balancer.dispatcher.flows == {}
+    assert balancer.dispatcher.waiting == {}
+    assert balancer.dispatcher.pending == {}
 
 
 def test_an_overloaded_service_refuses_what_can_not_finish_in_time() -> None:
     """Guard against requests that wait in a queue past their deadline."""
     balancer = build.Balancer(FIRST)
-    balancer.steering.latency_s["r-check"] = 0.03
-    loads = (neighbours.UpstreamLoad(FIRST.token, 200, False),)
-    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 0.0)
+    balancer.dispatcher.latency_s["r-check"] = 0.03
+    loads = (peertable.UpstreamLoad(FIRST.token, 200, False),)
+    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 0.0)
     action = balancer.send(build.build_segment(), 0.0)
     assert action == segments.Refuse("booking is overloaded")
 
@@ -308,14 +308,12 @@
     upstream = balancer.open(now=0.0)
     assert balancer.tick(0.08) == [upstream]
     balancer.take_orders()
-    balancer.steering.record_probe(upstream, "refused", "no listener", 0.085)
+    balancer.dispatcher.record_probe(upstream, "refused", "no listener", 0.085)
     balancer.tick(1.0)
     assert balancer.take_orders() == []
+    assert balancer.dispatcher.monitor.health[upstream.name, 1].suspected_at is not None
     assert (
-        balancer.steering.evidence.outlooks[upstream.name, 1].suspected_at is not None
-    )
-    assert (
-        balancer.steering.evidence.outlooks[find_other(upstream).name, 1].strikes == 0
+        balancer.dispatcher.monitor.health[find_other(upstream).name, 1].failures == 0
     )
 
 
@@ -325,31 +323,33 @@
     upstream = balancer.open(now=0.0)
     balancer.tick(2.0)
     moves = len(balancer.find_events("placed")) - 1
-    assert moves == steering.MOVES_MAX
-    assert balancer.steering.waiting == {}
+    assert moves == dispatch.MOVES_MAX
+    assert balancer.dispatcher.waiting == {}
     assert (
-        balancer.steering.evidence.outlooks[find_other(upstream).name, 1].strikes == 0
+        balancer.dispatcher.monitor.health[find_other(upstream).name, 1].failures == 0
     )
 
 
 def test_a_host_with_a_false_health_check_is_tried_again() -> None:
     """Guard against a healthy host that is lost because its health check fails."""
     balancer = build.Balancer(FIRST, SECOND)
-    evidence = balancer.steering.evidence.outlooks[FIRST.name, 1] = outlook.Outlook()
-    evidence.suspect(True, 0.0)
+    health = balancer.dispatcher.monitor.health[FIRST.name, 1] = (
+        passivehealth.PassiveHealth()
+    )
+    health.suspect(True, 0.0)
     balancer.tick(1.0)
-    evidence.probing = False
-    balancer.steering.record_probe(FIRST, "refused", "no listener", 1.0)
+    health.probing = False
+    balancer.dispatcher.record_probe(FIRST, "refused", "no listener", 1.0)
     before = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
     assert before == {SECOND}
-    later = outlook.TRIAL_FIRST_S + 0.1
+    later = passivehealth.TRIAL_FIRST_S + 0.1
     tried = [balancer.open(port, now=later) for port in range(41000, 41010)]
     assert tried.count(FIRST) == 1
-    much_later = later + 10 * outlook.TRIAL_MAX_S
+    much_later = later + 10 * passivehealth.TRIAL_MAX_S
     again = [balancer.open(port, now=much_later) for port in range(42000, 42010)]
     assert again.count(FIRST) == 1
     balancer.answer(FIRST, 42000 + again.index(FIRST), now=much_later + 0.01)
-    assert evidence.suspected_at is None
+    assert health.suspected_at is None
 
 
 def test_the_death_of_a_zones_only_balancer_does_not_cut_its_upstreams_off() -> None:
@@ -359,31 +359,31 @@
     """
     balancer = build.Balancer(FIRST, SECOND)
     report = build.build_report("front-9", zone="riga-b")
-    balancer.steering.hear_peer(report, 0.0)
+    balancer.dispatcher.hear_peer(report, 0.0)
     probed = balancer.tick(1.0)
     assert SECOND in probed
-    balancer.steering.record_probe(SECOND, "passed", "status 200", 1.0)
+    balancer.dispatcher.record_probe(SECOND, "passed", "status 200", 1.0)
     balancer.tick(1.1)
-    assert balancer.steering.cut_zones == set()
-    loads = (neighbours.UpstreamLoad(FIRST.token, 5, False),)
-    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 1.1)
+    assert balancer.dispatcher.partitioned_zones == set()
+    loads = (peertable.UpstreamLoad(FIRST.token, 5, False),)
+    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 1.1)
     assert balancer.open(now=1.1) == SECOND
 
 
 def test_a_zone_that_is_cut_off_is_asked_from_time_to_time() -> None:
     """Guard against a zone that stays shunned after the cut, and too many probes."""
     balancer = build.Balancer(FIRST, SECOND)
-    balancer.steering.hear_peer(build.build_report("front-9", zone="riga-b"), 0.0)
+    balancer.dispatcher.hear_peer(build.build_report("front-9", zone="riga-b"), 0.0)
     probes = 0
     for step in range(1, 500):
         for upstream in balancer.tick(step * 0.02):
             probes += 1
-            balancer.steering.record_probe(upstream, "silent", "timeout", step * 0.02)
-    assert balancer.steering.cut_zones == {"riga-b"}
+            balancer.dispatcher.record_probe(upstream, "silent", "timeout", step * 0.02)
+    assert balancer.dispatcher.partitioned_zones == {"riga-b"}
     assert 15 <= probes <= 21
-    balancer.steering.record_probe(SECOND, "passed", "status 200", 10.0)
+    balancer.dispatcher.record_probe(SECOND, "passed", "status 200", 10.0)
     balancer.tick(10.1)
-    assert balancer.steering.cut_zones == set()
+    assert balancer.dispatcher.partitioned_zones == set()
 
 
 @pytest.mark.parametrize(("kind", "resets"), [("safe", 1), ("unsafe", 0)])
@@ -394,12 +394,12 @@
     route = build.build_route(kind=kind)
     configuration = build.build_configuration(1, route)
     balancer = build.Balancer(SECOND, configuration=configuration)
-    balancer.steering.hear_peer(build.build_report("front-9", zone="riga-b"), 0.0)
+    balancer.dispatcher.hear_peer(build.build_report("front-9", zone="riga-b"), 0.0)
     balancer.open(now=0.0)
     request = build.build_data(SECOND.token, length=200)
     balancer.send(request, 0.01)
     balancer.tick(1.0)
-    assert balancer.steering.cut_zones == {"riga-b"}
+    assert balancer.dispatcher.partitioned_zones == {"riga-b"}
     balancer.take_orders()
     assert balancer.send(request, 1.1) == segments.Forward(SECOND, mark=False)
     orders = balancer.take_orders()
@@ -408,18 +408,18 @@
 
 def test_a_host_whose_probes_pass_while_flows_stay_silent_is_trusted_less() -> None:
     """Guard against a host with a false health check that gets flow after flow."""
-    known = outlook.Outlook()
+    health = passivehealth.PassiveHealth()
     waits = []
     now = 0.0
     for _ in range(5):
-        known.suspect(True, now)
+        health.suspect(True, now)
         start = now
-        while not known.record_probe(passed=True, silent=False, now=now):
+        while not health.record_probe(passed=True, silent=False, now=now):
             now += 0.1
         waits.append(now - start)
     assert waits[0] < 0.4
     assert waits == sorted(waits)
-    assert waits[-1] >= outlook.HOLD_MAX_S / 2
+    assert waits[-1] >= passivehealth.HOLD_MAX_S / 2
 
 
 def test_a_flow_that_turns_to_an_earlier_upstream_is_counted_once() -> None:
@@ -431,5 +431,5 @@
     response = build.build_data(upstream.token, acknowledged=900)
     balancer.send(response, 0.05)
     balancer.send(response._replace(token=other.token), 0.06)
-    assert balancer.steering.waiting == {}
-    assert balancer.steering.evidence.find(other).outstanding == 0
+    assert balancer.dispatcher.waiting == {}
+    assert balancer.dispatcher.monitor.find(other).outstanding == 0
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -39,7 +39,7 @@
             second = await fleet.start_forwarder(2)
             for each in (first, second):
                 await forwarderfleet.wait_until(
-                    lambda each=each: bool(each.decisions.directory.upstreams)  # type: ignore[misc]
+                    lambda each=each: bool(each.dispatcher.directory.upstreams)  # type: ignore[misc]
                 )
             opening = forwarderfleet.build_opening(40001)
             data = forwarderfleet.encode_packet(opening)
@@ -72,7 +72,7 @@
     asyncio.run(scenario())
 
 
-def test_a_forwarder_is_ready_only_with_beliefs_and_until_it_stops(
+def test_a_forwarder_is_ready_only_with_state_and_until_it_stops(
     tmp_path: pathlib.Path,
 ) -> None:
     """Guard against traffic for a balancer that can not place it, or that leaves."""
@@ -86,7 +86,7 @@
             response = await forwarderfleet.get(address, "/api/ready")
             assert response.status == 503
             fleet.store.failure = "none"
-            await forwarderfleet.wait_until(lambda: first.presence.state == "serving")
+            await forwarderfleet.wait_until(lambda: first.serving.state == "serving")
             response = await forwarderfleet.get(address, "/api/ready")
             assert response.status == 200
             first.request_stop()
@@ -109,16 +109,14 @@
             forwarders = [await fleet.start_forwarder(number) for number in (1, 2, 3)]
             third = forwarders[2]
             await forwarderfleet.wait_until(
-                lambda: (
-                    third.presence.state == "serving" and not third.following.watching
-                )
+                lambda: third.serving.state == "serving" and not third.sync.watching
             )
             fleet.register("i-00000001", ("127.0.0.50", 9), state="draining")
             fleet.configure(2, "sheets")
             fleet.remove("i-00000002")
 
             def is_current() -> bool:
-                known = third.decisions
+                known = third.dispatcher
                 return (
                     known.directory.upstreams["i-00000001"].draining
                     and known.configuration.version == 2
@@ -126,7 +124,7 @@
                 )
 
             await forwarderfleet.wait_until(is_current)
-            assert not third.following.watching
+            assert not third.sync.watching
 
     asyncio.run(scenario())
 
@@ -140,11 +138,11 @@
         async with open_fleet(tmp_path) as fleet:
             fleet.register("i-00000001", ("127.0.0.50", 9))
             first = await fleet.start_forwarder(1)
-            await forwarderfleet.wait_until(lambda: first.presence.state == "serving")
+            await forwarderfleet.wait_until(lambda: first.serving.state == "serving")
             fleet.store.failure = "silent"
             second = await fleet.start_forwarder(2)
-            await forwarderfleet.wait_until(lambda: second.presence.state == "serving")
-            assert list(second.decisions.directory.upstreams) == ["i-00000001"]
+            await forwarderfleet.wait_until(lambda: second.serving.state == "serving")
+            assert list(second.dispatcher.directory.upstreams) == ["i-00000001"]
 
     asyncio.run(scenario())
 
@@ -156,7 +154,7 @@
         async with open_fleet(tmp_path) as fleet:
             fleet.register("i-00000001", ("127.0.0.50", 9))
             first = await fleet.start_forwarder(1)
-            directory = first.decisions.directory
+            directory = first.dispatcher.directory
             await forwarderfleet.wait_until(lambda: bool(directory.upstreams))
             fleet.store.failure = "busy"
             fleet.store.changed.set()
@@ -174,7 +172,7 @@
     async def scenario() -> None:
         async with open_fleet(tmp_path) as fleet:
             first = await fleet.start_forwarder(1)
-            await forwarderfleet.wait_until(lambda: first.presence.state == "serving")
+            await forwarderfleet.wait_until(lambda: first.serving.state == "serving")
             response = await forwarderfleet.get(first.settings.metrics, "/metrics")
             assert response.status == 200
             assert b"pistachioshed_forwarder_configuration_version 1" in response.body
@@ -194,13 +192,11 @@
             forwarders = [await fleet.start_forwarder(number) for number in (1, 2, 3)]
             third = forwarders[2]
             await forwarderfleet.wait_until(
-                lambda: (
-                    third.presence.state == "serving" and not third.following.watching
-                )
+                lambda: third.serving.state == "serving" and not third.sync.watching
             )
             for proxy in proxies:
                 proxy.set_harm("reset")
-            lost = [each.following for each in forwarders[:2]]
+            lost = [each.sync for each in forwarders[:2]]
             await forwarderfleet.wait_until(
                 lambda: all(each.is_lost(time.monotonic()) for each in lost)
             )
@@ -208,7 +204,7 @@
             written_at = asyncio.get_running_loop().time()
             await forwarderfleet.wait_until(
                 lambda: all(
-                    each.decisions.configuration.version == 2 for each in forwarders
+                    each.dispatcher.configuration.version == 2 for each in forwarders
                 )
             )
             assert asyncio.get_running_loop().time() - written_at < 3.0
@@ -227,7 +223,7 @@
                 fleet.register(f"i-{number:08x}", ("127.0.0.50", 1000 + number))
             fleet.register("i-00000003", ("nowhere", 9))
             first = await fleet.start_forwarder(1)
-            directory = first.decisions.directory
+            directory = first.dispatcher.directory
             await forwarderfleet.wait_until(lambda: bool(directory.upstreams))
             assert len(directory.upstreams) == metadatastore.PAGE_ITEMS + 9
             fleet.register("i-00000004", ("127.0.0.50", 9), state="resting")
@@ -250,7 +246,7 @@
             fleet.register("i-00000001", host.address)
             first = await fleet.start_forwarder(1)
             await forwarderfleet.wait_until(
-                lambda: bool(first.decisions.directory.upstreams)
+                lambda: bool(first.dispatcher.directory.upstreams)
             )
             first.request_stop()
             task = fleet.running["front-1"][1]
@@ -281,7 +277,7 @@
             fleet.register("i-00000001", ("127.0.0.50", 9))
             first = await fleet.start_forwarder(1)
             await forwarderfleet.wait_until(
-                lambda: bool(first.decisions.directory.upstreams)
+                lambda: bool(first.dispatcher.directory.upstreams)
             )
             opening = forwarderfleet.build_opening(40001)
             caller.send(forwarderfleet.encode_packet(opening), first.settings.packets)
--- a/tests/test_packets.py
+++ b/tests/test_packets.py
@@ -6,7 +6,7 @@
 
 from pistachioshed.core import segments
 from pistachioshed.platform import packets
-from tests import steeringbuilders as build
+from tests import dispatchbuilders as build
 
 # The examples of the platform's page.
 OPENING = bytes.fromhex(
--- a/tests/test_neighbours.py
+++ b/tests/test_peertable.py
@@ -2,23 +2,23 @@
 
 import pytest
 
-from pistachioshed.core import neighbours
-from tests import steeringbuilders as build
+from pistachioshed.core import peertable
+from tests import dispatchbuilders as build
 
 
-def build_neighbours(capacity: float = 1.0) -> neighbours.Neighbours:
+def build_table(capacity: float = 1.0) -> peertable.PeerTable:
     """Return what "front-1" of zone riga-a knows, without seeds."""
-    return neighbours.Neighbours("front-1", "riga-a", (), capacity)
+    return peertable.PeerTable("front-1", "riga-a", (), capacity)
 
 
-def build_loads(outstanding: int) -> tuple[neighbours.UpstreamLoad, ...]:
+def build_loads(outstanding: int) -> tuple[peertable.UpstreamLoad, ...]:
     """Return a report's loads with one upstream."""
-    return (neighbours.UpstreamLoad(7, outstanding, False),)
+    return (peertable.UpstreamLoad(7, outstanding, False),)
 
 
 def test_loads_are_those_of_the_newest_report_of_each_peer() -> None:
     """Guard against loads counted twice when reports are repeated or overtake."""
-    peers = build_neighbours()
+    peers = build_table()
     report = build.build_report("front-2", sequence=2, loads=build_loads(3))
     assert peers.record(report, 0.0)
     assert not peers.record(report, 0.0)
@@ -29,7 +29,7 @@
 
 def test_a_restarted_peer_replaces_its_predecessor() -> None:
     """Guard against reports ignored after a restart, as their sequence starts anew."""
-    peers = build_neighbours()
+    peers = build_table()
     peers.record(build.build_report("front-2", sequence=50, loads=build_loads(3)), 0.0)
     assert peers.record(build.build_report("front-2", start_ms=2), 1.0)
     assert peers.count_outstanding(7) == 0
@@ -37,7 +37,7 @@
 
 def test_the_load_of_a_silent_peer_is_dropped() -> None:
     """Guard against a dead balancer whose flows weigh on its upstreams for ever."""
-    peers = build_neighbours()
+    peers = build_table()
     peers.record(build.build_report("front-2", loads=build_loads(3)), 0.0)
     peers.expire(1.0)
     assert peers.count_outstanding(7) == 0
@@ -47,15 +47,15 @@
 
 def test_a_peer_is_forgotten_with_its_address() -> None:
     """Guard against reports to machines that were removed."""
-    peers = build_neighbours()
+    peers = build_table()
     peers.record(build.build_report("front-2"), 0.0)
-    assert peers.expire(neighbours.FORGET_AFTER_S + 1) == ["front-2"]
+    assert peers.expire(peertable.FORGET_AFTER_S + 1) == ["front-2"]
     assert peers.addresses == set()
 
 
 def test_watchers_are_the_live_balancers_with_the_largest_links() -> None:
     """Guard against small machines that pass a large configuration on."""
-    peers = build_neighbours(capacity=10.0)
+    peers = build_table(capacity=10.0)
     for name, capacity, leaving in (
         ("front-2", 200.0, False),
         ("front-3", 200.0, True),
@@ -69,7 +69,7 @@
 
 def test_a_zone_with_others_beside_it_has_one_watcher() -> None:
     """Guard against store calls that grow with the zones twice over."""
-    peers = build_neighbours(capacity=10.0)
+    peers = build_table(capacity=10.0)
     peers.record(build.build_report("front-2", capacity=200.0), 0.0)
     other = build.build_report("front-9", zone="riga-b", capacity=500.0)
     peers.record(other, 0.0)
@@ -78,7 +78,7 @@
 
 def test_reports_of_a_large_fleet_have_a_bounded_number_of_recipients() -> None:
     """Guard against control traffic that grows with the square of the fleet."""
-    peers = build_neighbours()
+    peers = build_table()
     for number in range(150):
         zone = "riga-" + "abc"[number % 3]
         address = ("10.1.0.1", number)
@@ -86,7 +86,7 @@
         report = build.build_report(name, zone=zone, address=address)
         peers.record(report, 0.0)
     turns = [peers.list_recipients(sequence) for sequence in range(50)]
-    most = neighbours.NEAR_MAX + 2 * neighbours.FAR_PER_ZONE
+    most = peertable.NEAR_MAX + 2 * peertable.FAR_PER_ZONE
     assert {len(turn) for turn in turns} == {most}
     reached = {address for turn in turns for address in turn}
     assert len(reached) == 150
@@ -94,16 +94,16 @@
 
 def test_a_zone_is_silent_only_when_all_its_peers_are() -> None:
     """Guard against a whole zone that is shunned because one balancer died."""
-    peers = build_neighbours()
+    peers = build_table()
     peers.record(build.build_report("front-2", zone="riga-b"), 0.0)
     peers.record(build.build_report("front-3", zone="riga-b"), 1.0)
     assert peers.find_silent_zones(1.1) == set()
     assert peers.find_silent_zones(2.0) == {"riga-b"}
 
 
-def test_newer_beliefs_of_a_peer_are_found() -> None:
+def test_newer_state_of_a_peer_are_found() -> None:
     """Guard against a balancer that is cut off from the store and stays behind."""
-    peers = build_neighbours()
+    peers = build_table()
     peers.record(build.build_report("front-2", upstreams_changed=4), 0.0)
     newest = build.build_report("front-3", configuration_version=3)
     peers.record(newest, 0.0)
@@ -116,7 +116,7 @@
 
     Hunt of `zlk-lisovna`, trouble-1, seed 206930314405: three of four watchers were.
     """
-    peers = build_neighbours()
+    peers = build_table()
     peers.record(build.build_report("front-0", zone="riga-b"), 0.0)
     peers.record(build.build_report("front-2"), 0.0)
     assert peers.list_watchers(False, 0.1) == ["front-1"]
@@ -128,17 +128,17 @@
 def test_seeds_outlast_a_partition() -> None:
     """Guard against two sides of a long partition that never find each other again."""
     seed = ("10.2.0.1", 7720)
-    peers = neighbours.Neighbours("front-1", "riga-a", (seed,))
+    peers = peertable.PeerTable("front-1", "riga-a", (seed,))
     peers.record(build.build_report("front-2", zone="riga-b", address=seed), 0.0)
     peers.record(build.build_report("front-3", address=("10.1.0.3", 7720)), 0.0)
-    assert len(peers.expire(neighbours.FORGET_AFTER_S + 1)) == 2
+    assert len(peers.expire(peertable.FORGET_AFTER_S + 1)) == 2
     assert peers.list_recipients(1) == [seed]
 
 
 def test_peers_and_addresses_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guard against reports of made-up peers that use up memory and bandwidth."""
-    monkeypatch.setattr(neighbours, "PEERS_MAX", 10)
-    peers = build_neighbours()
+    monkeypatch.setattr(peertable, "PEERS_MAX", 10)
+    peers = build_table()
     for number in range(50):
         name = f"front-{number + 2}"
         named = tuple((f"10.9.{number}.{other}", 7720) for other in range(5))
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -2,8 +2,8 @@
 
 import collections
 
-from pistachioshed.core import directory, neighbours, routing, segments
-from tests import steeringbuilders as build
+from pistachioshed.core import directory, peertable, routing, segments
+from tests import dispatchbuilders as build
 
 FIRST = build.build_upstream(1)
 SECOND = build.build_upstream(2)
@@ -83,9 +83,9 @@
     for token in (FIRST.token, SECOND.token):
         for attempt in range(20):
             balancer = build.Balancer(FIRST, SECOND)
-            loads = (neighbours.UpstreamLoad(token, 1, False),)
+            loads = (peertable.UpstreamLoad(token, 1, False),)
             report = build.build_report("front-2", loads=loads)
-            balancer.steering.hear_peer(report, 0.0)
+            balancer.dispatcher.hear_peer(report, 0.0)
             upstream = balancer.open(40_000 + attempt, 0.0)
             assert upstream.token != token
 
@@ -95,8 +95,8 @@
     limits = routing.ServiceLimits("/health", 3)
     configuration = build.build_configuration()._replace(services={"booking": limits})
     balancer = build.Balancer(FIRST, SECOND, configuration=configuration)
-    loads = (neighbours.UpstreamLoad(FIRST.token, 2, False),)
-    balancer.steering.hear_peer(build.build_report("front-2", loads=loads), 0.0)
+    loads = (peertable.UpstreamLoad(FIRST.token, 2, False),)
+    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 0.0)
     assert place(balancer, 4, 0.0) == {FIRST.name: 1, SECOND.name: 3}
     refused = balancer.send(build.build_segment(), 0.0)
     assert refused == segments.Refuse("no upstream of booking")
--- a/tests/test_beliefsmodel.py
+++ b/tests/test_statemodel.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful, strategies
 
 from pistachioshed.core import directory, routing, segments
-from tests import steeringbuilders as build
+from tests import dispatchbuilders as build
 
 NUMBERS = strategies.integers(1, 5)
 SERVICES = strategies.sampled_from(["booking", "sheets"])
@@ -86,23 +86,23 @@
         if old:
             first = data.draw(strategies.integers(0, len(old) - 1))
             part = old[first:]
-            before = dict(self.balancer.steering.directory.upstreams)
+            before = dict(self.balancer.dispatcher.directory.upstreams)
             self.apply(part, part[-1].revision, data.draw(strategies.booleans()))
-            assert self.balancer.steering.directory.upstreams == before
+            assert self.balancer.dispatcher.directory.upstreams == before
 
     @stateful.rule(version=strategies.integers(1, 9), service=SERVICES)
     def configure(self, version: int, service: str) -> None:
         """Deliver a configuration, perhaps an old one."""
         route = build.build_route(shares=(routing.Share(service, 1.0),))
         configuration = build.build_configuration(version, route)
-        self.balancer.steering.configure(configuration, self.now)
-        self.versions.append(self.balancer.steering.configuration.version)
+        self.balancer.dispatcher.configure(configuration, self.now)
+        self.versions.append(self.balancer.dispatcher.configuration.version)
 
     @stateful.rule(seconds=strategies.sampled_from([0.02, 0.3, 2.5, 70.0]))
     def wait(self, seconds: float) -> None:
         """Let time pass."""
         self.now += seconds
-        self.balancer.steering.tick(self.now)
+        self.balancer.dispatcher.tick(self.now)
         self.balancer.take_orders()
 
     @stateful.rule(answered=strategies.booleans(), finished=strategies.booleans())
@@ -111,7 +111,7 @@
         self.port += 1
         caller = (build.CALLER[0], self.port)
         action = self.balancer.send(build.build_segment(caller=caller), self.now)
-        known = self.balancer.steering
+        known = self.balancer.dispatcher
         if isinstance(action, segments.Refuse):
             service = known.configuration.routes[build.TARGET].shares[0].service
             assert not [
@@ -143,7 +143,7 @@
         ]
         newest = seen[-1]
         if newest.upstream is None:
-            assert upstream.name in self.balancer.steering.directory.lapsed_at
+            assert upstream.name in self.balancer.dispatcher.directory.lapsed_at
         else:
             assert newest.upstream == upstream
 
@@ -151,7 +151,7 @@
         self, changes: list[directory.Change], revision: int, snapshot: bool
     ) -> None:
         """Deliver a batch."""
-        known = self.balancer.steering
+        known = self.balancer.dispatcher
         known.update_directory(changes, revision, snapshot, self.now)
         self.balancer.take_orders()
         self.delivered = max(self.delivered, revision)
@@ -160,26 +160,26 @@
     def versions_never_fall(self) -> None:
         """Check the order of versions in force and of revisions."""
         assert self.versions == sorted(self.versions)
-        assert self.balancer.steering.directory.revision >= self.delivered
+        assert self.balancer.dispatcher.directory.revision >= self.delivered
 
     @stateful.invariant()
     def counts_agree(self) -> None:
         """Check that outstanding requests are those of the waiting flows."""
-        known = self.balancer.steering
+        known = self.balancer.dispatcher
         counted: dict[tuple[str, int], int] = {}
         for flow in known.waiting.values():
             assert flow.counted
             key = (flow.upstream.name, flow.upstream.born_ms)
             counted[key] = counted.get(key, 0) + 1
-        for key, evidence in known.evidence.outlooks.items():
-            assert evidence.outstanding == counted.get(key, 0)
+        for key, health in known.monitor.health.items():
+            assert health.outstanding == counted.get(key, 0)
         assert set(known.pending) <= set(known.flows)
         assert set(known.waiting) <= set(known.flows)
 
     @stateful.invariant()
     def index_agrees(self) -> None:
         """Check that the indices of the directory hold its upstreams, each once."""
-        known = self.balancer.steering.directory
+        known = self.balancer.dispatcher.directory
         listed = [each for group in known.by_service.values() for each in group]
         assert sorted(listed) == sorted(known.upstreams.values())
         assert set(known.lapsed_at) <= set(known.upstreams)
