Keep a peer's suspicion only as long as it reports it; probe where flows wait

Cause: every balancer of a zone made a peer's suspicion its own and probed until its own probe passed.

Ruled out: flows over the limit of a host (a flow a request, far below 2,000).

A peer's suspicion is now part of its report and ends with it. Only balancers with evidence of their own, or with flows that wait at the host, probe.

--- a/src/pistachioshed/core/dispatch.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -32,8 +32,6 @@
 WAITING_INTERVAL_S: typing.Final = 0.1
 # Callers repeat unacknowledged data after 200 ms; less is a duplicate in the network.
 REPEAT_MIN_S: typing.Final = 0.15
-# A peer's suspicion says nothing of an upstream heard of more recently than that.
-PEER_SUSPICION_AGE_S: typing.Final = 0.1
 # A longer pause of this process makes every flow look silent.
 PAUSE_S: typing.Final = 0.1
 # One connection may be lost; with two in a row and silent flows the host is gone.
@@ -131,19 +129,22 @@
 
     def hear_peer(self, report: peertable.Report, now: float) -> bool:
         """Take a peer's report; return False if it is an old one."""
+        before = self.peers.list_suspected()
         if not self.peers.record(report, now):
             return False
+        self._record_suspicions(before, report.name)
         for entry in report.loads:
             upstream = self.directory.by_token.get(entry.token)
             if not entry.suspected or upstream is None:
                 continue
             health = self.monitor.find(upstream)
-            if now - health.heard_at <= PEER_SUSPICION_AGE_S:
-                continue
-            if report.zone == self.zone:
-                self.monitor.suspect(upstream, health, report.name, now)
-            elif now - health.probe_requested_at > monitor.PROBE_INTERVAL_S:
-                # A peer of another zone may be cut off from the upstream itself.
+            is_due = now - health.probe_requested_at > monitor.PROBE_INTERVAL_S
+            # Only flows that wait there are worth a probe of each balancer's own.
+            if (
+                health.outstanding
+                and is_due
+                and health.heard_at < now - monitor.PEER_SUSPICION_AGE_S
+            ):
                 health.request_probe(now)
         return True
 
@@ -152,8 +153,10 @@
         if now - self.ticked_at > PAUSE_S:
             self.judge_from = now + PAUSE_S
         self.ticked_at = now
+        before = self.peers.list_suspected()
         for name in self.peers.expire(now):
             self.record("peer forgotten", peer=name)
+        self._record_suspicions(before, "a peer that fell silent")
         silent_zones = self.peers.find_silent_zones(now)
         self._judge_zones(silent_zones, now)
         self._judge_openings(now)
@@ -210,8 +213,7 @@
         for service in self.configuration.services:
             upstreams = self.directory.list_service(service)
             if upstreams and all(
-                self.monitor.find(upstream).suspected_at is not None
-                for upstream in upstreams
+                self.monitor.is_suspected(upstream) for upstream in upstreams
             ):
                 unserved.append(service)
         return unserved
@@ -352,7 +354,7 @@
             self.directory.is_cold(upstream, now),
             selection.Tier(
                 tried.count(upstream.name),
-                health.suspected_at is not None and not health.may_try(now),
+                self.monitor.is_suspected(upstream) and not health.may_try(now),
                 upstream.zone in self.partitioned_zones,
                 upstream.name in self.directory.lapsed_at,
             ),
@@ -566,6 +568,18 @@
     def _may_judge(self, now: float) -> bool:
         return now >= self.judge_from
 
+    def _record_suspicions(self, before: frozenset[int], peer: str) -> None:
+        """Log which upstreams the peers began or ceased to suspect."""
+        after = self.peers.list_suspected()
+        for event, tokens in (
+            ("peer suspects upstream", after - before),
+            ("peers trust upstream", before - after),
+        ):
+            for token in tokens:
+                upstream = self.directory.by_token.get(token)
+                if upstream is not None:
+                    self.record(event, upstream=upstream.name, peer=peer)
+
     def _record_refusal(self, segment: segments.Segment, reason: str) -> None:
         self.record(
             "refused",
--- a/src/pistachioshed/core/monitor.py
+++ b/src/pistachioshed/core/monitor.py
@@ -5,6 +5,8 @@
 
 from pistachioshed.core import directory, passivehealth, peertable, segments
 
+# A peer's suspicion says nothing of an upstream heard of more recently than that.
+PEER_SUSPICION_AGE_S: typing.Final = 0.1
 PROBE_INTERVAL_S: typing.Final = 0.5  # The interval at which the users' fabric probes.
 
 Incarnation = tuple[str, int]
@@ -19,7 +21,7 @@
     known : Directory
         The registered upstreams.
     peers : PeerTable
-        Tells a peer's suspicion from this balancer's own known.
+        The suspicions of the other balancers.
     record : callable
         Takes changes of state for the log.
     """
@@ -48,7 +50,7 @@
         loads = []
         for incarnation, health in self.health.items():
             upstream = self._find_current(incarnation)
-            suspected = health.suspected_at is not None and health.own
+            suspected = health.suspected_at is not None
             if upstream is not None and (health.outstanding or suspected):
                 loads.append(
                     peertable.UpstreamLoad(
@@ -88,8 +90,8 @@
         cause: str,
         now: float,
     ) -> None:
-        """Suspect an upstream; `cause` is a peer or what was seen."""
-        if health.suspect(cause not in self.peers.peers, now):
+        """Suspect an upstream for what was seen."""
+        if health.suspect(now):
             self.record(
                 "upstream suspected",
                 upstream=upstream.name,
@@ -99,6 +101,17 @@
                 upstreams=self.directory.revision,
             )
 
+    def is_suspected(self, upstream: directory.Upstream) -> bool:
+        """Tell whether this balancer or one of its zone holds an upstream for silent.
+
+        What this balancer has heard of the upstream since outweighs its peers.
+        """
+        health = self.find(upstream)
+        if health.suspected_at is not None:
+            return True
+        since = self.peers.find_suspicion(upstream.token)
+        return since is not None and health.heard_at < since - PEER_SUSPICION_AGE_S
+
     def find_partitioned_zones(
         self, silent_zones: abc.Iterable[str], since: float
     ) -> set[str]:
--- a/src/pistachioshed/core/passivehealth.py
+++ b/src/pistachioshed/core/passivehealth.py
@@ -30,10 +30,10 @@
     a flow and `answered_at` that of the last one at all;
     `suspected_at` when silence was last held against it, None while it is trusted.
     `failures` counts the flows that fell silent since, `probe_requested_at` is when one
-    last did. `own` tells whether the suspicion rests on what it saw itself and
-    `silent_probes` how many of its probes in a row found no machine that answers;
+    last did. `silent_probes` is how many probes in a row found no machine that answers;
     `probing` is set while one is under way. `tried_at` is when it got a single flow
-    while it was suspected, and `trial_s` the time until the next one.
+    while it was suspected, `trial_s` the time until the next one, and `hold_s` how long
+    a suspicion stands before a probe may end it.
     """
 
     __slots__ = (
@@ -42,7 +42,6 @@
         "heard_at",
         "hold_s",
         "outstanding",
-        "own",
         "probe_requested_at",
         "probed_at",
         "probing",
@@ -60,7 +59,6 @@
         self.heard_at = -math.inf
         self.answered_at = -math.inf
         self.suspected_at: float | None = None
-        self.own = False
         self.trusted_at = -math.inf
         self.hold_s = HOLD_FIRST_S
         self.probed_at = -math.inf
@@ -95,16 +93,14 @@
         """Ask for a probe."""
         self.probe_requested_at = now
 
-    def suspect(self, own: bool, now: float) -> bool:
+    def suspect(self, now: float) -> bool:
         """Suspect the upstream; return whether it was trusted until now."""
         if self.suspected_at is not None:
-            self.own = self.own or own
             return False
         if now - self.trusted_at > HOLD_RESET_S:
             self.hold_s = HOLD_FIRST_S
             self.trial_s = TRIAL_FIRST_S
         self.suspected_at = now
-        self.own = own
         return True
 
     def record_probe(self, passed: bool, silent: bool, now: float) -> bool:
@@ -143,5 +139,4 @@
         self.suspected_at = None
         self.silent_probes = 0
         self.failures = 0
-        self.own = False
         self.trusted_at = now
--- a/src/pistachioshed/core/peertable.py
+++ b/src/pistachioshed/core/peertable.py
@@ -51,6 +51,13 @@
     peers: tuple[tuple[str, int], ...]
 
 
+class Suspicion(typing.NamedTuple):
+    """How many peers of the zone suspect an upstream, and since when one did."""
+
+    peers: int
+    since: float
+
+
 class Peer:
     """The newest report of one peer, and when it arrived."""
 
@@ -82,6 +89,7 @@
         self.addresses = set(self.seeds)
         self.peers: dict[str, Peer] = {}
         self.loads: dict[int, int] = {}
+        self.suspicions: dict[int, Suspicion] = {}
 
     def add_seeds(self, seeds: abc.Iterable[tuple[str, int]]) -> None:
         """Add addresses to send reports to for as long as this process runs."""
@@ -97,14 +105,16 @@
             known = peer.report
             if (known.start_ms, known.sequence) >= (report.start_ms, report.sequence):
                 return False
-            self._add_loads(known.loads, -1)
+            # Adding first keeps the start of a suspicion that the peer repeats.
+            self._add_loads(report, 1, now)
+            self._add_loads(known, -1, now)
             peer.report = report
             peer.heard_at = now
         else:
             if len(self.peers) >= PEERS_MAX:
                 return False
             self.peers[report.name] = Peer(report, now)
-        self._add_loads(report.loads, 1)
+            self._add_loads(report, 1, now)
         for address in (report.address, *report.peers):
             if len(self.addresses) < PEERS_MAX:
                 self.addresses.add(address)
@@ -116,7 +126,7 @@
         for name, peer in list(self.peers.items()):
             silent_s = now - peer.heard_at
             if silent_s > SILENT_AFTER_S and peer.report.loads:
-                self._add_loads(peer.report.loads, -1)
+                self._add_loads(peer.report, -1, now)
                 peer.report = peer.report._replace(loads=())
             if silent_s > FORGET_AFTER_S:
                 del self.peers[name]
@@ -129,6 +139,15 @@
         """Return the peers' outstanding requests at an upstream."""
         return self.loads.get(token, 0)
 
+    def find_suspicion(self, token: int) -> float | None:
+        """Return since when a live peer of the zone has suspected an upstream."""
+        known = self.suspicions.get(token)
+        return None if known is None else known.since
+
+    def list_suspected(self) -> frozenset[int]:
+        """Return the tokens of the upstreams that live peers of the zone suspect."""
+        return frozenset(self.suspicions)
+
     def list_live(self, now: float) -> list[Report]:
         """Return the reports of the peers heard of lately."""
         return [
@@ -197,10 +216,19 @@
             if zone != self.zone and now - heard_at > SILENT_AFTER_S
         }
 
-    def _add_loads(self, loads: abc.Iterable[UpstreamLoad], sign: int) -> None:
-        for entry in loads:
+    def _add_loads(self, report: Report, sign: int, now: float) -> None:
+        """Add what a report says to the sums, or take it out of them."""
+        for entry in report.loads:
             total = self.loads.get(entry.token, 0) + sign * entry.outstanding
             if total > 0:
                 self.loads[entry.token] = total
             else:
                 self.loads.pop(entry.token, None)
+            if entry.suspected and report.zone == self.zone:
+                known = self.suspicions.get(entry.token, Suspicion(0, now))
+                if known.peers + sign > 0:
+                    self.suspicions[entry.token] = known._replace(
+                        peers=known.peers + sign
+                    )
+                else:
+                    del self.suspicions[entry.token]
