--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -185,7 +185,7 @@
 
     async def answer_metrics(self, request: http1.Request) -> http1.Response:
         """Return the metrics."""
-        self.metrics.set_gauge("flows", len(self.dispatcher.flows))
+        self.metrics.set_gauge("flows", len(self.dispatcher.book.flows))
         self.metrics.set_gauge("peers", len(self.peers.list_live(self.clock())))
         self.metrics.set_gauge(
             "configuration_version", self.dispatcher.configuration.version
--- a/src/pistachioshed/core/dispatch.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -11,6 +11,7 @@
 
 from pistachioshed.core import (
     directory,
+    flowbook,
     monitor,
     passivehealth,
     peertable,
@@ -39,7 +40,6 @@
 # Twenty responses outweigh what was health; a route has about ten a second.
 LATENCY_GAIN: typing.Final = 0.05
 SWEEP_INTERVAL_S: typing.Final = 0.5  # A third of the users' shortest time limit.
-FLOWS_MAX: typing.Final = 100_000  # About 30 MB; a machine of the users has 114 MB.
 SEQUENCE_RANGE: typing.Final = 2**32
 HALF_SEQUENCE_RANGE: typing.Final = 2**31
 
@@ -78,11 +78,9 @@
         self.configuration = routing.EMPTY_CONFIGURATION
         self.configured_at = 0.0
         self.directory_at = 0.0
-        self.flows: dict[segments.FlowKey, segments.Flow] = {}
-        self.pending: dict[segments.FlowKey, segments.Flow] = {}
-        self.waiting: dict[segments.FlowKey, segments.Flow] = {}
-        self.waited_at = 0.0
         self.monitor = monitor.HealthMonitor(self.directory, peers, record)
+        self.book = flowbook.FlowBook(self.monitor)
+        self.responses_judged_at = 0.0
         self.latency_s: dict[str, float] = {}
         self.ticked_at = 0.0
         self.swept_at = 0.0
@@ -160,14 +158,15 @@
         silent_zones = self.peers.find_silent_zones(now)
         self._judge_zones(silent_zones, now)
         self._judge_openings(now)
-        if now - self.waited_at >= WAITING_INTERVAL_S:
-            self.waited_at = now
+        if now - self.responses_judged_at >= WAITING_INTERVAL_S:
+            self.responses_judged_at = now
             self._judge_responses(now)
         for update in self.directory.expire(now):
             self._record_update(update)
         if now - self.swept_at >= SWEEP_INTERVAL_S:
             self.swept_at = now
-            self._sweep(now)
+            self.book.expire(self.configuration.flow_idle_s, now)
+            self.monitor.forget()
         services = self.configuration.services
         return [
             *self.monitor.list_probes(self.partitioned_zones, services, now),
@@ -226,29 +225,20 @@
             reason = "no route" if self.configuration.version else "no configuration"
             self._record_refusal(segment, reason)
             return segments.Refuse(reason)
-        key = (*segment.caller, *segment.target)
-        flow = self.flows.get(key)
-        if flow is not None and flow.sequence == segment.sequence:
-            return self._repeat_opening(key, flow, segment, now)
-        if flow is not None:
-            self._forget(key, flow)
-        chosen = self._choose(route, key, (), now)
+        flow = self.book.find(segment)
+        if flow is not None and flow.segment.sequence == segment.sequence:
+            return self._repeat_opening(flow, segment, now)
+        chosen = self._choose(route, segment, (), now)
         if isinstance(chosen, segments.Refuse):
             self._record_refusal(segment, chosen.reason)
             return chosen
-        if len(self.flows) >= FLOWS_MAX:
-            self._forget(*next(iter(self.flows.items())))
-        flow = segments.Flow(key, route, chosen.upstream, segment, packet, now)
-        self.flows[key] = flow
-        self._place(key, flow, segment, chosen, now)
+        flow = flowbook.Flow(route, chosen.upstream, segment, packet, now)
+        self.book.add(flow)
+        self._place(flow, segment, chosen, now)
         return segments.Forward(chosen.upstream, mark=True)
 
     def _repeat_opening(
-        self,
-        key: segments.FlowKey,
-        flow: segments.Flow,
-        segment: segments.Segment,
-        now: float,
+        self, flow: flowbook.Flow, segment: segments.Segment, now: float
     ) -> segments.Action:
         """Offer a copy of an opening to the next upstream if the last one is silent."""
         if flow.opened or self._is_answering(flow):
@@ -259,30 +249,26 @@
             self.monitor.note_silence(
                 flow.upstream, flow.placed_at, "repeated opening", now
             )
-        return self._move_opening(key, flow, segment, now)
+        return self._move_opening(flow, segment, now)
 
     def _move_opening(
-        self,
-        key: segments.FlowKey,
-        flow: segments.Flow,
-        segment: segments.Segment,
-        now: float,
+        self, flow: flowbook.Flow, segment: segments.Segment, now: float
     ) -> segments.Forward | segments.Refuse:
         """Offer an opening that its upstream did not answer to another one."""
         flow.tried.append(flow.upstream.name)
-        self._uncount(flow)
-        chosen = self._choose(flow.route, key, flow.tried, now)
+        self.book.end_wait(flow)
+        chosen = self._choose(flow.route, segment, flow.tried, now)
         if isinstance(chosen, segments.Refuse):
             self._record_refusal(segment, chosen.reason)
-            self._forget(key, flow)
+            self.book.remove(flow)
             return chosen
         flow.upstream = chosen.upstream
         flow.placed_at = flow.asked_at = now
         flow.repeated = False
-        self._place(key, flow, segment, chosen, now)
+        self._place(flow, segment, chosen, now)
         return segments.Forward(chosen.upstream, mark=True)
 
-    def _is_answering(self, flow: segments.Flow) -> bool:
+    def _is_answering(self, flow: flowbook.Flow) -> bool:
         """Tell whether the upstream answered others since it got this opening."""
         health = self.monitor.find(flow.upstream)
         is_alive = health.heard_at >= flow.placed_at
@@ -290,18 +276,15 @@
 
     def _place(
         self,
-        key: segments.FlowKey,
-        flow: segments.Flow,
+        flow: flowbook.Flow,
         segment: segments.Segment,
         chosen: selection.Candidate,
         now: float,
     ) -> None:
-        self._count(flow)
+        self.book.await_handshake(flow)
         health = self.monitor.find(chosen.upstream)
         if health.suspected_at is not None:
             health.record_trial(now)
-        self.pending.pop(key, None)
-        self.pending[key] = flow
         self.record(
             "placed",
             segment=segment,
@@ -318,11 +301,12 @@
     def _choose(
         self,
         route: routing.Route,
-        key: segments.FlowKey,
+        segment: segments.Segment,
         tried: abc.Sequence[str],
         now: float,
     ) -> selection.Candidate | segments.Refuse:
-        service = routing.choose_service(route, repr(key).encode())
+        ends = repr(segments.get_flow_key(segment)).encode()
+        service = routing.choose_service(route, ends)
         if service is None:
             return segments.Refuse("route without weights")
         limits = self.configuration.services.get(service)
@@ -361,8 +345,7 @@
         )
 
     def _carry(self, segment: segments.Segment, now: float) -> segments.Action:
-        key = (*segment.caller, *segment.target)
-        flow = self.flows.get(key)
+        flow = self.book.find(segment)
         upstream = self.directory.find_by_token(segment.token)
         if upstream is None:
             if flow is None:
@@ -378,20 +361,12 @@
         if flow is not None:
             if upstream.token != flow.upstream.token:
                 # An earlier upstream answered after all, and the caller took it.
-                was_counted = flow.counted
-                self._uncount(flow)
-                flow.upstream = upstream
-                if was_counted:
-                    self._count(flow)
-            self._observe(key, flow, segment, now)
+                self.book.move(flow, upstream)
+            self._observe(flow, segment, now)
         return segments.Forward(upstream, mark=False)
 
     def _observe(
-        self,
-        key: segments.FlowKey,
-        flow: segments.Flow,
-        segment: segments.Segment,
-        now: float,
+        self, flow: flowbook.Flow, segment: segments.Segment, now: float
     ) -> None:
         """Learn from a packet of a flow that this balancer placed."""
         health = self.monitor.find(flow.upstream)
@@ -399,42 +374,36 @@
         if not flow.opened:
             flow.opened = True
             flow.acknowledged = segment.acknowledged
-            self.pending.pop(key, None)
+            self.book.end_handshake(flow)
             self.monitor.note_life(flow.upstream, health, now)
         elif _is_after(segment.acknowledged, flow.acknowledged):
             flow.acknowledged = segment.acknowledged
             self.monitor.note_life(flow.upstream, health, now)
-            if flow.counted:
-                self._uncount(flow)
+            if self.book.end_wait(flow):
                 self._learn_latency(flow, health, now)
         if segment.length:
-            self._observe_data(key, flow, segment, now)
+            self._observe_data(flow, segment, now)
         if segment.closing or segment.reset:
-            self._forget(key, flow)
+            self.book.remove(flow)
 
     def _observe_data(
-        self,
-        key: segments.FlowKey,
-        flow: segments.Flow,
-        segment: segments.Segment,
-        now: float,
+        self, flow: flowbook.Flow, segment: segments.Segment, now: float
     ) -> None:
         end = (segment.sequence + segment.length) % SEQUENCE_RANGE
         if _is_after(end, flow.sent_through):
             flow.sent_through = end
             flow.asked_at = now
-            if not flow.counted:
-                self._count(flow)
+            self.book.await_response(flow)
         elif now - flow.asked_at > REPEAT_MIN_S and self._may_judge(now):
             self.monitor.note_silence(
                 flow.upstream, flow.asked_at, "repeated data", now
             )
             unreachable = flow.upstream.zone in self.partitioned_zones
             if unreachable and flow.route.kind != "unsafe":
-                self._reset_flow(key, flow, "its upstream can not be reached")
+                self._reset_flow(flow, "its upstream can not be reached")
 
     def _learn_latency(
-        self, flow: segments.Flow, health: passivehealth.PassiveHealth, now: float
+        self, flow: flowbook.Flow, health: passivehealth.PassiveHealth, now: float
     ) -> None:
         latency_s = now - flow.asked_at
         self.observe(flow.route.name, latency_s)
@@ -466,14 +435,14 @@
         """
         if not self._may_judge(now):
             return
-        for key, flow in list(self.pending.items()):
+        for flow in self.book.list_pending():
             waited_s = now - flow.placed_at
             if waited_s < OPENING_EXPECTED_S:
                 # Openings are pending in the order in which they were placed.
                 break
             if len(flow.tried) >= MOVES_MAX and flow.repeated:
-                del self.pending[key]
-                self._uncount(flow)
+                self.book.end_handshake(flow)
+                self.book.end_wait(flow)
             elif not flow.repeated:
                 flow.repeated = True
                 if not flow.tried:
@@ -483,13 +452,13 @@
                     )
                 self._order(segments.Forward(flow.upstream, mark=True), flow)
             elif waited_s >= OPENING_MOVED_S:
-                self._order(self._move_opening(key, flow, flow.segment, now), flow)
+                self._order(self._move_opening(flow, flow.segment, now), flow)
 
     def _judge_responses(self, now: float) -> None:
         """Doubt the upstreams whose responses are unusually late."""
         if not self._may_judge(now):
             return
-        for flow in self.waiting.values():
+        for flow in self.book.waiting.values():
             if flow.overdue or not flow.opened:
                 continue
             typical_s = self.latency_s.get(flow.route.name, 0.0)
@@ -502,7 +471,7 @@
                     health.request_probe(now)
 
     def _order(
-        self, action: segments.Forward | segments.Refuse, flow: segments.Flow
+        self, action: segments.Forward | segments.Refuse, flow: flowbook.Flow
     ) -> None:
         self.orders.append(segments.Order(action, flow.segment, flow.packet))
 
@@ -512,19 +481,14 @@
         Callers may repeat these requests, and are told at once instead of at their
         deadline. Requests that may run only once are left to their callers.
         """
-        for key, flow in list(self.flows.items()):
-            if flow.upstream.name != name:
-                continue
+        for flow in self.book.list_of(name):
             if not flow.opened:
                 # The machine has reset it: its caller is trying again with another one.
-                self._forget(key, flow)
+                self.book.remove(flow)
             elif flow.route.kind != "unsafe":
-                self._reset_flow(key, flow, reason)
+                self._reset_flow(flow, reason)
 
-    def _reset_flow(
-        self, key: segments.FlowKey, flow: segments.Flow, reason: str
-    ) -> None:
-        """Reset an open flow."""
+    def _reset_flow(self, flow: flowbook.Flow, reason: str) -> None:
         last = flow.segment._replace(acknowledged=flow.acknowledged, opening=False)
         self.record(
             "flow reset",
@@ -535,35 +499,7 @@
             upstreams=self.directory.revision,
         )
         self.orders.append(segments.Order(segments.Refuse(reason), last, b""))
-        self._forget(key, flow)
-
-    def _sweep(self, now: float) -> None:
-        idle_s = self.configuration.flow_idle_s
-        for key, flow in list(self.flows.items()):
-            quiet_s = now - flow.seen_at
-            if quiet_s > idle_s:
-                self._forget(key, flow)
-            elif flow.counted and quiet_s > flow.route.timeout_s:
-                self._uncount(flow)
-        self.monitor.forget()
-
-    def _count(self, flow: segments.Flow) -> None:
-        flow.counted = True
-        flow.overdue = False
-        self.waiting[flow.key] = flow
-        self.monitor.find(flow.upstream).outstanding += 1
-
-    def _uncount(self, flow: segments.Flow) -> None:
-        if flow.counted:
-            flow.counted = False
-            self.waiting.pop(flow.key, None)
-            health = self.monitor.find(flow.upstream)
-            health.outstanding = max(0, health.outstanding - 1)
-
-    def _forget(self, key: segments.FlowKey, flow: segments.Flow) -> None:
-        self._uncount(flow)
-        self.flows.pop(key, None)
-        self.pending.pop(key, None)
+        self.book.remove(flow)
 
     def _may_judge(self, now: float) -> bool:
         return now >= self.judge_from
--- /dev/null
+++ b/src/pistachioshed/core/flowbook.py
@@ -0,0 +1,145 @@
+"""The flows that a forwarder placed, and which of them wait for what."""
+
+import typing
+from collections import abc
+
+from pistachioshed.core import directory, monitor, routing, segments
+
+FLOWS_MAX: typing.Final = 100_000  # A machine of the users opens about 30 a second.
+
+
+class Flow:
+    """A flow that this balancer placed.
+
+    `placed_at` is when it was given to its upstream, `asked_at` when its request was
+    sent on, `seen_at` when its caller last sent anything. `segment` and `packet` are
+    its opening; `repeated` tells whether that was sent to this upstream twice, and
+    `tried` names the upstreams that did not answer it. `overdue` tells whether its
+    response is late.
+    """
+
+    __slots__ = (
+        "acknowledged",
+        "asked_at",
+        "opened",
+        "overdue",
+        "packet",
+        "placed_at",
+        "repeated",
+        "route",
+        "seen_at",
+        "segment",
+        "sent_through",
+        "tried",
+        "upstream",
+    )
+
+    def __init__(
+        self,
+        route: routing.Route,
+        upstream: directory.Upstream,
+        segment: segments.Segment,
+        packet: bytes,
+        now: float,
+    ) -> None:
+        self.route = route
+        self.upstream = upstream
+        self.segment = segment
+        self.packet = packet
+        self.placed_at = now
+        self.seen_at = now
+        self.asked_at = now
+        self.opened = False
+        self.repeated = False
+        self.overdue = False
+        self.acknowledged = 0
+        self.sent_through = segment.sequence
+        self.tried: list[str] = []
+
+    @property
+    def key(self) -> segments.FlowKey:
+        """The ends of the flow."""
+        return segments.get_flow_key(self.segment)
+
+
+class FlowBook:
+    """Flows by their ends.
+
+    `pending` holds those without a handshake, in the order in which they were placed,
+    and `waiting` those whose request has no response; these are outstanding at their
+    upstream.
+    """
+
+    def __init__(self, health: monitor.HealthMonitor) -> None:
+        self.health = health
+        self.flows: dict[segments.FlowKey, Flow] = {}
+        self.pending: dict[segments.FlowKey, Flow] = {}
+        self.waiting: dict[segments.FlowKey, Flow] = {}
+
+    def find(self, segment: segments.Segment) -> Flow | None:
+        """Return the flow of a packet, if this balancer placed it."""
+        return self.flows.get(segments.get_flow_key(segment))
+
+    def add(self, flow: Flow) -> None:
+        """Add a flow in place of an earlier one with the same ends."""
+        earlier = self.flows.get(flow.key)
+        if earlier is not None:
+            self.remove(earlier)
+        if len(self.flows) >= FLOWS_MAX:
+            self.remove(next(iter(self.flows.values())))
+        self.flows[flow.key] = flow
+
+    def remove(self, flow: Flow) -> None:
+        """Forget a flow; its later packets are carried by their token."""
+        self.end_wait(flow)
+        self.flows.pop(flow.key, None)
+        self.pending.pop(flow.key, None)
+
+    def await_handshake(self, flow: Flow) -> None:
+        """Note that an opening was sent on."""
+        self.pending.pop(flow.key, None)
+        self.pending[flow.key] = flow
+        self.await_response(flow)
+
+    def end_handshake(self, flow: Flow) -> None:
+        """Note that a flow is open, or that its opening is left alone."""
+        self.pending.pop(flow.key, None)
+
+    def await_response(self, flow: Flow) -> None:
+        """Count a flow as outstanding at its upstream."""
+        if flow.key not in self.waiting:
+            self.waiting[flow.key] = flow
+            flow.overdue = False
+            self.health.find(flow.upstream).outstanding += 1
+
+    def end_wait(self, flow: Flow) -> bool:
+        """Count a flow as outstanding no longer; return whether it was."""
+        if self.waiting.pop(flow.key, None) is None:
+            return False
+        health = self.health.find(flow.upstream)
+        health.outstanding = max(0, health.outstanding - 1)
+        return True
+
+    def move(self, flow: Flow, upstream: directory.Upstream) -> None:
+        """Take another upstream as that of a flow; it waits there if it waited."""
+        waited = self.end_wait(flow)
+        flow.upstream = upstream
+        if waited:
+            self.await_response(flow)
+
+    def list_of(self, name: str) -> list[Flow]:
+        """Return the flows of an upstream."""
+        return [flow for flow in self.flows.values() if flow.upstream.name == name]
+
+    def expire(self, idle_s: float, now: float) -> None:
+        """Remove idle flows, and cease to count those past their time limit."""
+        for flow in list(self.flows.values()):
+            quiet_s = now - flow.seen_at
+            if quiet_s > idle_s:
+                self.remove(flow)
+            elif quiet_s > flow.route.timeout_s:
+                self.end_wait(flow)
+
+    def list_pending(self) -> abc.Sequence[Flow]:
+        """Return the flows without a handshake, the longest first."""
+        return list(self.pending.values())
--- a/src/pistachioshed/core/segments.py
+++ b/src/pistachioshed/core/segments.py
@@ -1,4 +1,4 @@
-"""Packets, decisions and flows of the forwarder: the types that its parts share."""
+"""Packets of callers, and what the forwarder does with them: shared types."""
 
 import typing
 from collections import abc
@@ -34,6 +34,11 @@
     reset: bool
 
 
+def get_flow_key(segment: Segment) -> FlowKey:
+    """Return the ends of a packet's flow."""
+    return (*segment.caller, *segment.target)
+
+
 class Forward(typing.NamedTuple):
     """Send the packet to an upstream; mark it with the upstream's token if `mark`."""
 
@@ -71,57 +76,3 @@
 ProbeOutcome = typing.Literal["passed", "failed", "busy", "refused", "silent"]
 """Healthy; answered otherwise; connected but did not answer in time; its machine has no
 such port; did not connect in time."""
-
-
-class Flow:
-    """A flow that this balancer placed.
-
-    `placed_at` is when it was given to its upstream, `asked_at` when its request was
-    sent on. `counted` tells whether it is among its upstream's outstanding requests.
-    `segment` and `packet` are its opening; `repeated` if that was sent twice.
-    """
-
-    __slots__ = (
-        "acknowledged",
-        "asked_at",
-        "counted",
-        "key",
-        "opened",
-        "overdue",
-        "packet",
-        "placed_at",
-        "repeated",
-        "route",
-        "seen_at",
-        "segment",
-        "sent_through",
-        "sequence",
-        "tried",
-        "upstream",
-    )
-
-    def __init__(
-        self,
-        key: FlowKey,
-        route: routing.Route,
-        upstream: directory.Upstream,
-        segment: Segment,
-        packet: bytes,
-        now: float,
-    ) -> None:
-        self.key = key
-        self.overdue = False
-        self.route = route
-        self.upstream = upstream
-        self.segment = segment
-        self.packet = packet
-        self.sequence = segment.sequence
-        self.placed_at = now
-        self.seen_at = now
-        self.asked_at = now
-        self.counted = False
-        self.opened = False
-        self.repeated = False
-        self.acknowledged = 0
-        self.sent_through = segment.sequence
-        self.tried: list[str] = []
