--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -266,7 +266,7 @@
         """Take a peer's report."""
         if report.name not in self.peers.peers and report.name != self.settings.name:
             jsonlog.log_event("peer found", peer=report.name, peer_zone=report.zone)
-        self.dispatcher.hear_peer(report, self.clock())
+        self.dispatcher.monitor.hear_peer(report, self.clock())
 
     async def probe(self, upstream: directory.Upstream, path: str) -> None:
         """Ask an upstream for its health."""
--- a/src/pistachioshed/core/dispatch.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -5,15 +5,14 @@
 here serve measurement only; losing them loses no flow.
 """
 
-import random
 import typing
 from collections import abc
 
 from pistachioshed.core import (
+    chooser,
     directory,
     flowbook,
     monitor,
-    passivehealth,
     peertable,
     routing,
     segments,
@@ -35,10 +34,6 @@
 REPEAT_MIN_S: typing.Final = 0.15
 # A longer pause of this process makes every flow look silent.
 PAUSE_S: typing.Final = 0.1
-# One connection may be lost; with two in a row and silent flows the host is gone.
-PROBES_SILENT: typing.Final = 2
-# Twenty responses outweigh what was health; a route has about ten a second.
-LATENCY_GAIN: typing.Final = 0.05
 SWEEP_INTERVAL_S: typing.Final = 0.5  # A third of the users' shortest time limit.
 SEQUENCE_RANGE: typing.Final = 2**32
 HALF_SEQUENCE_RANGE: typing.Final = 2**31
@@ -73,19 +68,17 @@
         self.peers = peers
         self.record = record
         self.observe = observe
-        self.draw = random.Random(seed)
         self.directory = directory.Directory()
         self.configuration = routing.EMPTY_CONFIGURATION
         self.configured_at = 0.0
         self.directory_at = 0.0
-        self.monitor = monitor.HealthMonitor(self.directory, peers, record)
+        self.monitor = monitor.HealthMonitor(zone, self.directory, peers, record)
+        self.chooser = chooser.Chooser(zone, self.directory, peers, self.monitor, seed)
         self.book = flowbook.FlowBook(self.monitor)
         self.responses_judged_at = 0.0
-        self.latency_s: dict[str, float] = {}
         self.ticked_at = 0.0
         self.swept_at = 0.0
         self.judge_from = 0.0
-        self.partitioned_zones: set[str] = set()
         self.orders: list[segments.Order] = []
 
     def handle(
@@ -125,38 +118,12 @@
             if update.outcome == "restarted":
                 self._end_flows(update.name, "its upstream has restarted")
 
-    def hear_peer(self, report: peertable.Report, now: float) -> bool:
-        """Take a peer's report; return False if it is an old one."""
-        before = self.peers.list_suspected()
-        if not self.peers.record(report, now):
-            return False
-        self._record_suspicions(before, report.name)
-        for entry in report.loads:
-            upstream = self.directory.by_token.get(entry.token)
-            if not entry.suspected or upstream is None:
-                continue
-            health = self.monitor.find(upstream)
-            is_due = now - health.probe_requested_at > monitor.PROBE_INTERVAL_S
-            # Only flows that wait there are worth a probe of each balancer's own.
-            if (
-                health.outstanding
-                and is_due
-                and health.heard_at < now - monitor.PEER_SUSPICION_AGE_S
-            ):
-                health.request_probe(now)
-        return True
-
     def tick(self, now: float) -> list[directory.Upstream]:
         """Judge silence and forget old flows; return the upstreams to probe."""
         if now - self.ticked_at > PAUSE_S:
             self.judge_from = now + PAUSE_S
         self.ticked_at = now
-        before = self.peers.list_suspected()
-        for name in self.peers.expire(now):
-            self.record("peer forgotten", peer=name)
-        self._record_suspicions(before, "a peer that fell silent")
-        silent_zones = self.peers.find_silent_zones(now)
-        self._judge_zones(silent_zones, now)
+        self.monitor.review_peers(now)
         self._judge_openings(now)
         if now - self.responses_judged_at >= WAITING_INTERVAL_S:
             self.responses_judged_at = now
@@ -167,11 +134,7 @@
             self.swept_at = now
             self.book.expire(self.configuration.flow_idle_s, now)
             self.monitor.forget()
-        services = self.configuration.services
-        return [
-            *self.monitor.list_probes(self.partitioned_zones, services, now),
-            *self.monitor.list_zone_probes(silent_zones, services, now),
-        ]
+        return self.monitor.list_probes(self.configuration.services, now)
 
     def record_probe(
         self,
@@ -180,42 +143,14 @@
         detail: str,
         now: float,
     ) -> None:
-        """Take the result of a health check of a suspected upstream."""
-        health = self.monitor.find(upstream)
-        since = health.suspected_at
-        health.probing = False
-        if outcome not in ("silent", "refused"):
-            health.answered_at = now
-        if health.record_probe(outcome == "passed", outcome == "silent", now):
-            self.record(
-                "upstream trusted",
-                upstream=upstream.name,
-                cause="probe",
-                outcome=detail,
-                suspected_s=round(now - (since or now), 3),
-            )
-        if (
-            outcome in ("passed", "busy")
-            or health.heard_at >= health.probe_requested_at
-        ):
-            return
-        self.monitor.suspect(upstream, health, detail, now)
-        if outcome == "refused":
-            self._end_flows(upstream.name, "its upstream has ended")
-        elif outcome == "silent" and health.silent_probes >= PROBES_SILENT:
-            if upstream.zone not in self.partitioned_zones:
-                self._end_flows(upstream.name, "its upstream is silent")
+        """Take the result of a health check; end the flows of an ended upstream."""
+        reason = self.monitor.record_probe(upstream, outcome, detail, now)
+        if reason is not None:
+            self._end_flows(upstream.name, reason)
 
     def find_unserved(self) -> list[str]:
         """Return the routed services of which every upstream is silent."""
-        unserved = []
-        for service in self.configuration.services:
-            upstreams = self.directory.list_service(service)
-            if upstreams and all(
-                self.monitor.is_suspected(upstream) for upstream in upstreams
-            ):
-                unserved.append(service)
-        return unserved
+        return self.monitor.find_unserved(self.configuration.services)
 
     def _open(
         self, segment: segments.Segment, packet: bytes, now: float
@@ -228,7 +163,7 @@
         flow = self.book.find(segment)
         if flow is not None and flow.segment.sequence == segment.sequence:
             return self._repeat_opening(flow, segment, now)
-        chosen = self._choose(route, segment, (), now)
+        chosen = self.chooser.choose(self.configuration, route, segment, (), now)
         if isinstance(chosen, segments.Refuse):
             self._record_refusal(segment, chosen.reason)
             return chosen
@@ -257,7 +192,9 @@
         """Offer an opening that its upstream did not answer to another one."""
         flow.tried.append(flow.upstream.name)
         self.book.end_wait(flow)
-        chosen = self._choose(flow.route, segment, flow.tried, now)
+        chosen = self.chooser.choose(
+            self.configuration, flow.route, segment, flow.tried, now
+        )
         if isinstance(chosen, segments.Refuse):
             self._record_refusal(segment, chosen.reason)
             self.book.remove(flow)
@@ -298,52 +235,6 @@
             upstreams=self.directory.revision,
         )
 
-    def _choose(
-        self,
-        route: routing.Route,
-        segment: segments.Segment,
-        tried: abc.Sequence[str],
-        now: float,
-    ) -> selection.Candidate | segments.Refuse:
-        ends = repr(segments.get_flow_key(segment)).encode()
-        service = routing.choose_service(route, ends)
-        if service is None:
-            return segments.Refuse("route without weights")
-        limits = self.configuration.services.get(service)
-        candidates = []
-        for upstream in self.directory.list_service(service):
-            if upstream.draining:
-                continue
-            candidate = self._assess(upstream, tried, now)
-            if limits is None or candidate.outstanding < limits.connections:
-                candidates.append(candidate)
-        chosen = selection.choose_upstream(candidates, self.zone, self.draw)
-        if chosen is None:
-            return segments.Refuse(f"no upstream of {service}")
-        wait_s = selection.estimate_cost(chosen, self.zone) * self.latency_s.get(
-            route.name, 0.0
-        )
-        if wait_s > route.timeout_s:
-            return segments.Refuse(f"{service} is overloaded")
-        return chosen
-
-    def _assess(
-        self, upstream: directory.Upstream, tried: abc.Sequence[str], now: float
-    ) -> selection.Candidate:
-        health = self.monitor.find(upstream)
-        return selection.Candidate(
-            upstream,
-            health.outstanding + self.peers.count_outstanding(upstream.token),
-            health.slowness,
-            self.directory.is_cold(upstream, now),
-            selection.Tier(
-                tried.count(upstream.name),
-                self.monitor.is_suspected(upstream) and not health.may_try(now),
-                upstream.zone in self.partitioned_zones,
-                upstream.name in self.directory.lapsed_at,
-            ),
-        )
-
     def _carry(self, segment: segments.Segment, now: float) -> segments.Action:
         flow = self.book.find(segment)
         upstream = self.directory.find_by_token(segment.token)
@@ -380,7 +271,9 @@
             flow.acknowledged = segment.acknowledged
             self.monitor.note_life(flow.upstream, health, now)
             if self.book.end_wait(flow):
-                self._learn_latency(flow, health, now)
+                latency_s = now - flow.asked_at
+                self.observe(flow.route.name, latency_s)
+                self.chooser.learn_latency(flow.route, flow.upstream, latency_s)
         if segment.length:
             self._observe_data(flow, segment, now)
         if segment.closing or segment.reset:
@@ -398,36 +291,10 @@
             self.monitor.note_silence(
                 flow.upstream, flow.asked_at, "repeated data", now
             )
-            unreachable = flow.upstream.zone in self.partitioned_zones
+            unreachable = flow.upstream.zone in self.monitor.partitioned_zones
             if unreachable and flow.route.kind != "unsafe":
                 self._reset_flow(flow, "its upstream can not be reached")
 
-    def _learn_latency(
-        self, flow: flowbook.Flow, health: passivehealth.PassiveHealth, now: float
-    ) -> None:
-        latency_s = now - flow.asked_at
-        self.observe(flow.route.name, latency_s)
-        typical_s = self.latency_s.get(flow.route.name)
-        if typical_s is None:
-            self.latency_s[flow.route.name] = latency_s
-            return
-        self.latency_s[flow.route.name] = typical_s + LATENCY_GAIN * (
-            latency_s - typical_s
-        )
-        slots = flow.upstream.slots
-        others = self.peers.count_outstanding(flow.upstream.token)
-        if health.outstanding + others < slots:
-            # With more in progress the latency is that of the queue.
-            health.record_latency(latency_s / max(typical_s, 0.001))
-
-    def _judge_zones(self, silent_zones: set[str], now: float) -> None:
-        """Take a zone as cut off when neither balancers nor upstreams answer."""
-        since = now - peertable.SILENT_AFTER_S
-        partitioned_zones = self.monitor.find_partitioned_zones(silent_zones, since)
-        if partitioned_zones != self.partitioned_zones:
-            self.partitioned_zones = partitioned_zones
-            self.record("zones partitioned", zones=sorted(partitioned_zones))
-
     def _judge_openings(self, now: float) -> None:
         """Hold openings against silent upstreams; repeat them, then move them.
 
@@ -461,7 +328,7 @@
         for flow in self.book.waiting.values():
             if flow.overdue or not flow.opened:
                 continue
-            typical_s = self.latency_s.get(flow.route.name, 0.0)
+            typical_s = self.chooser.get_typical_latency(flow.route)
             allowed_s = max(RESPONSE_OVERDUE_S, RESPONSE_OVERDUE_FACTOR * typical_s)
             if now - flow.asked_at > allowed_s:
                 flow.overdue = True
@@ -504,18 +371,6 @@
     def _may_judge(self, now: float) -> bool:
         return now >= self.judge_from
 
-    def _record_suspicions(self, before: frozenset[int], peer: str) -> None:
-        """Log which upstreams the peers began or ceased to suspect."""
-        after = self.peers.list_suspected()
-        for event, tokens in (
-            ("peer suspects upstream", after - before),
-            ("peers trust upstream", before - after),
-        ):
-            for token in tokens:
-                upstream = self.directory.by_token.get(token)
-                if upstream is not None:
-                    self.record(event, upstream=upstream.name, peer=peer)
-
     def _record_refusal(self, segment: segments.Segment, reason: str) -> None:
         self.record(
             "refused",
--- a/src/pistachioshed/core/monitor.py
+++ b/src/pistachioshed/core/monitor.py
@@ -7,6 +7,8 @@
 
 # A peer's suspicion says nothing of an upstream heard of more recently than that.
 PEER_SUSPICION_AGE_S: typing.Final = 0.1
+# One connection may be lost; with two in a row and silent flows the host is gone.
+PROBES_SILENT: typing.Final = 2
 PROBE_INTERVAL_S: typing.Final = 0.5  # The interval at which the users' fabric probes.
 
 Incarnation = tuple[str, int]
@@ -16,8 +18,13 @@
 class HealthMonitor:
     """The passivehealth of each registered upstream.
 
+    `silent_zones` are those of which no balancer answers, `partitioned_zones` those of
+    which no upstream does either.
+
     Parameters
     ----------
+    zone : str
+        The availability zone of this balancer.
     known : Directory
         The registered upstreams.
     peers : PeerTable
@@ -28,10 +35,14 @@
 
     def __init__(
         self,
+        zone: str,
         known: directory.Directory,
         peers: peertable.PeerTable,
         record: segments.Record,
     ) -> None:
+        self.zone = zone
+        self.silent_zones: set[str] = set()
+        self.partitioned_zones: set[str] = set()
         self.directory = known
         self.peers = peers
         self.record = record
@@ -112,51 +123,97 @@
         since = self.peers.find_suspicion(upstream.token)
         return since is not None and health.heard_at < since - PEER_SUSPICION_AGE_S
 
-    def find_partitioned_zones(
-        self, silent_zones: abc.Iterable[str], since: float
-    ) -> set[str]:
-        """Return the silent zones of which no upstream was heard of since a time."""
-        heard = {
-            upstream.zone
-            for incarnation, health in self.health.items()
-            if health.answered_at >= since
-            and (upstream := self._find_current(incarnation)) is not None
-        }
-        return set(silent_zones) - heard
+    def review_peers(self, now: float) -> None:
+        """Forget silent peers; find the zones that are partitioned from this one."""
+        before = self.peers.list_suspected()
+        for name in self.peers.expire(now):
+            self.record("peer forgotten", peer=name)
+        self._record_suspicions(before, "a peer that fell silent")
+        self.silent_zones = self.peers.find_silent_zones(now)
+        zones = self._find_partitioned_zones(now - peertable.SILENT_AFTER_S)
+        if zones != self.partitioned_zones:
+            self.partitioned_zones = zones
+            self.record("zones partitioned", zones=sorted(zones))
 
-    def list_zone_probes(
-        self, silent_zones: abc.Iterable[str], services: abc.Container[str], now: float
-    ) -> list[directory.Upstream]:
-        """Return an upstream of each silent zone to probe, if it is time for one.
+    def hear_peer(self, report: peertable.Report, now: float) -> bool:
+        """Take a peer's report; return False if it is an old one."""
+        before = self.peers.list_suspected()
+        if not self.peers.record(report, now):
+            return False
+        self._record_suspicions(before, report.name)
+        for entry in report.loads:
+            upstream = self.directory.by_token.get(entry.token)
+            if not entry.suspected or upstream is None:
+                continue
+            health = self.find(upstream)
+            is_due = now - health.probe_requested_at > PROBE_INTERVAL_S
+            # Only flows that wait there are worth a probe of each balancer's own.
+            if (
+                health.outstanding
+                and is_due
+                and health.heard_at < now - PEER_SUSPICION_AGE_S
+            ):
+                health.request_probe(now)
+        return True
 
-        Their balancers are silent; the probe shows whether the zone is cut off.
+    def record_probe(
+        self,
+        upstream: directory.Upstream,
+        outcome: segments.ProbeOutcome,
+        detail: str,
+        now: float,
+    ) -> str | None:
+        """Take the result of a health check.
+
+        Returns
+        -------
+        str or None
+            Why the upstream is known to have ended, if it is.
         """
-        due = []
-        for zone in silent_zones:
-            members = [
-                (self.find(upstream).probed_at, upstream)
-                for upstream in self.directory.upstreams.values()
-                if upstream.zone == zone and upstream.service in services
-            ]
-            if members and now - max(members)[0] >= PROBE_INTERVAL_S:
-                _, upstream = min(members)
-                self._start_probe(upstream, now)
-                due.append(upstream)
-        return due
+        health = self.find(upstream)
+        since = health.suspected_at
+        health.probing = False
+        if outcome not in ("silent", "refused"):
+            health.answered_at = now
+        if health.record_probe(outcome == "passed", outcome == "silent", now):
+            self.record(
+                "upstream trusted",
+                upstream=upstream.name,
+                cause="probe",
+                outcome=detail,
+                suspected_s=round(now - (since or now), 3),
+            )
+        heard = health.heard_at >= health.probe_requested_at
+        if heard or outcome in ("passed", "busy"):
+            return None
+        self.suspect(upstream, health, detail, now)
+        if outcome == "refused":
+            return "its upstream has ended"
+        is_reachable = upstream.zone not in self.partitioned_zones
+        if outcome == "silent" and is_reachable:
+            if health.silent_probes >= PROBES_SILENT:
+                return "its upstream is silent"
+        return None
+
+    def find_unserved(self, services: abc.Iterable[str]) -> list[str]:
+        """Return the routed services of which every upstream is silent."""
+        unserved = []
+        for service in services:
+            upstreams = self.directory.list_service(service)
+            if upstreams and all(self.is_suspected(upstream) for upstream in upstreams):
+                unserved.append(service)
+        return unserved
 
     def list_probes(
-        self,
-        partitioned_zones: abc.Container[str],
-        services: abc.Container[str],
-        now: float,
+        self, services: abc.Container[str], now: float
     ) -> list[directory.Upstream]:
-        """Return the upstreams to probe now, outside of zones that are cut off."""
+        """Return the upstreams to probe now."""
         due = []
         for incarnation, health in self.health.items():
             upstream = self._find_current(incarnation)
             if upstream is None or upstream.draining:
                 continue
-            if upstream.zone in partitioned_zones:
+            if upstream.zone in self.partitioned_zones:
                 continue
             if upstream.service not in services:
                 continue
@@ -168,7 +225,7 @@
             ):
                 self._start_probe(upstream, now)
                 due.append(upstream)
-        return due
+        return due + self._list_zone_probes(services, now)
 
     def forget(self) -> None:
         """Forget the upstreams that are no longer registered."""
@@ -176,6 +233,51 @@
             if self._find_current(incarnation) is None:
                 del self.health[incarnation]
 
+    def _record_suspicions(self, before: frozenset[int], peer: str) -> None:
+        """Log which upstreams the peers began or ceased to suspect."""
+        after = self.peers.list_suspected()
+        for event, tokens in (
+            ("peer suspects upstream", after - before),
+            ("peers trust upstream", before - after),
+        ):
+            for token in tokens:
+                upstream = self.directory.by_token.get(token)
+                if upstream is not None:
+                    self.record(event, upstream=upstream.name, peer=peer)
+
+    def _find_partitioned_zones(self, since: float) -> set[str]:
+        """Return the silent zones of which no upstream was heard of since a time.
+
+        Balancers of a silent zone may have died while its upstreams live on.
+        """
+        heard = {
+            upstream.zone
+            for incarnation, health in self.health.items()
+            if health.answered_at >= since
+            and (upstream := self._find_current(incarnation)) is not None
+        }
+        return self.silent_zones - heard
+
+    def _list_zone_probes(
+        self, services: abc.Container[str], now: float
+    ) -> list[directory.Upstream]:
+        """Return an upstream of each silent zone to probe, if it is time for one.
+
+        Their balancers are silent; the probe shows whether the zone is cut off.
+        """
+        due = []
+        for zone in self.silent_zones:
+            members = [
+                (self.find(upstream).probed_at, upstream)
+                for upstream in self.directory.upstreams.values()
+                if upstream.zone == zone and upstream.service in services
+            ]
+            if members and now - max(members)[0] >= PROBE_INTERVAL_S:
+                _, upstream = min(members)
+                self._start_probe(upstream, now)
+                due.append(upstream)
+        return due
+
     def _start_probe(self, upstream: directory.Upstream, now: float) -> None:
         health = self.find(upstream)
         health.probing = True
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -202,7 +202,9 @@
     """Guard against balancers that all choose the same idle host."""
     balancer = build.Balancer(FIRST, SECOND._replace(zone="riga-a"))
     loads = (peertable.UpstreamLoad(FIRST.token, 3, False),)
-    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 0.0)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 0.0
+    )
     placed = [balancer.open(port, now=0.0) for port in (40000, 40001)]
     assert {upstream.name for upstream in placed} == {SECOND.name}
 
@@ -211,7 +213,9 @@
     """Guard against a dead host that each balancer has to find out by itself."""
     balancer = build.Balancer(FIRST, SECOND)
     loads = (peertable.UpstreamLoad(FIRST.token, 0, True),)
-    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 1.0)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 1.0
+    )
     placed = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
     assert placed == {SECOND}
     assert balancer.dispatcher.monitor.list_loads()[0].token == SECOND.token
@@ -223,7 +227,9 @@
     balancer.open(now=0.0)
     balancer.answer(FIRST, now=0.95)
     loads = (peertable.UpstreamLoad(FIRST.token, 0, True),)
-    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 1.0)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 1.0
+    )
     assert balancer.find_events("upstream suspected") == []
     assert balancer.dispatcher.find_unserved() == []
 
@@ -243,13 +249,13 @@
     balancer = build.Balancer(FIRST)
     loads = (peertable.UpstreamLoad(FIRST.token, 0, True),)
     report = build.build_report("front-9", zone="riga-c", loads=loads)
-    balancer.dispatcher.hear_peer(report, 1.0)
+    balancer.dispatcher.monitor.hear_peer(report, 1.0)
     assert balancer.dispatcher.find_unserved() == []
     assert balancer.dispatcher.tick(1.02) == []
     # A flow that waits there makes it worth a probe.
     balancer.open(now=1.03)
     balancer.answer(FIRST, now=1.04)
-    balancer.dispatcher.hear_peer(report._replace(sequence=2), 1.2)
+    balancer.dispatcher.monitor.hear_peer(report._replace(sequence=2), 1.2)
     assert balancer.dispatcher.find_unserved() == []
     assert balancer.dispatcher.tick(1.22) == [FIRST]
 
@@ -258,9 +264,9 @@
     """Guard against openings sent into a zone that is cut off."""
     balancer = build.Balancer(FIRST, SECOND)
     report = build.build_report("front-9", zone="riga-b")
-    balancer.dispatcher.hear_peer(report, 0.0)
+    balancer.dispatcher.monitor.hear_peer(report, 0.0)
     balancer.tick(1.0)
-    assert balancer.dispatcher.partitioned_zones == {"riga-b"}
+    assert balancer.dispatcher.monitor.partitioned_zones == {"riga-b"}
     placed = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
     assert placed == {FIRST}
 
@@ -297,9 +303,11 @@
 def test_an_overloaded_service_refuses_what_can_not_finish_in_time() -> None:
     """Guard against requests that wait in a queue past their deadline."""
     balancer = build.Balancer(FIRST)
-    balancer.dispatcher.latency_s["r-check"] = 0.03
+    balancer.dispatcher.chooser.latency_s["r-check"] = 0.03
     loads = (peertable.UpstreamLoad(FIRST.token, 200, False),)
-    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 0.0)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 0.0
+    )
     action = balancer.send(build.build_segment(), 0.0)
     assert action == segments.Refuse("booking is overloaded")
 
@@ -365,31 +373,35 @@
     """
     balancer = build.Balancer(FIRST, SECOND)
     report = build.build_report("front-9", zone="riga-b")
-    balancer.dispatcher.hear_peer(report, 0.0)
+    balancer.dispatcher.monitor.hear_peer(report, 0.0)
     probed = balancer.tick(1.0)
     assert SECOND in probed
     balancer.dispatcher.record_probe(SECOND, "passed", "status 200", 1.0)
     balancer.tick(1.1)
-    assert balancer.dispatcher.partitioned_zones == set()
+    assert balancer.dispatcher.monitor.partitioned_zones == set()
     loads = (peertable.UpstreamLoad(FIRST.token, 5, False),)
-    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 1.1)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 1.1
+    )
     assert balancer.open(now=1.1) == SECOND
 
 
 def test_a_zone_that_is_cut_off_is_asked_from_time_to_time() -> None:
     """Guard against a zone that stays shunned after the cut, and too many probes."""
     balancer = build.Balancer(FIRST, SECOND)
-    balancer.dispatcher.hear_peer(build.build_report("front-9", zone="riga-b"), 0.0)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-9", zone="riga-b"), 0.0
+    )
     probes = 0
     for step in range(1, 500):
         for upstream in balancer.tick(step * 0.02):
             probes += 1
             balancer.dispatcher.record_probe(upstream, "silent", "timeout", step * 0.02)
-    assert balancer.dispatcher.partitioned_zones == {"riga-b"}
+    assert balancer.dispatcher.monitor.partitioned_zones == {"riga-b"}
     assert 15 <= probes <= 21
     balancer.dispatcher.record_probe(SECOND, "passed", "status 200", 10.0)
     balancer.tick(10.1)
-    assert balancer.dispatcher.partitioned_zones == set()
+    assert balancer.dispatcher.monitor.partitioned_zones == set()
 
 
 @pytest.mark.parametrize(("kind", "resets"), [("safe", 1), ("unsafe", 0)])
@@ -400,12 +412,14 @@
     route = build.build_route(kind=kind)
     configuration = build.build_configuration(1, route)
     balancer = build.Balancer(SECOND, configuration=configuration)
-    balancer.dispatcher.hear_peer(build.build_report("front-9", zone="riga-b"), 0.0)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-9", zone="riga-b"), 0.0
+    )
     balancer.open(now=0.0)
     request = build.build_data(SECOND.token, length=200)
     balancer.send(request, 0.01)
     balancer.tick(1.0)
-    assert balancer.dispatcher.partitioned_zones == {"riga-b"}
+    assert balancer.dispatcher.monitor.partitioned_zones == {"riga-b"}
     balancer.take_orders()
     assert balancer.send(request, 1.1) == segments.Forward(SECOND, mark=False)
     orders = balancer.take_orders()
@@ -454,7 +468,7 @@
         for sequence in range(1, 50):
             now = sequence * 0.1
             report = build.build_report("front-2", sequence=sequence, loads=loads)
-            balancer.dispatcher.hear_peer(report, now)
+            balancer.dispatcher.monitor.hear_peer(report, now)
             probes += len(balancer.dispatcher.tick(now))
         assert balancer.open(now=5.0) == SECOND
     assert probes == 0
@@ -465,11 +479,11 @@
     balancer = build.Balancer(FIRST)
     loads = (peertable.UpstreamLoad(FIRST.token, 0, True),)
     report = build.build_report("front-2", loads=loads)
-    balancer.dispatcher.hear_peer(report, 0.0)
+    balancer.dispatcher.monitor.hear_peer(report, 0.0)
     assert balancer.dispatcher.find_unserved() == ["booking"]
-    balancer.dispatcher.hear_peer(report._replace(sequence=2, loads=()), 0.1)
+    balancer.dispatcher.monitor.hear_peer(report._replace(sequence=2, loads=()), 0.1)
     assert balancer.dispatcher.find_unserved() == []
-    balancer.dispatcher.hear_peer(report._replace(sequence=3), 0.2)
+    balancer.dispatcher.monitor.hear_peer(report._replace(sequence=3), 0.2)
     assert balancer.dispatcher.find_unserved() == ["booking"]
     balancer.tick(2.0)
     assert balancer.dispatcher.find_unserved() == []
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -85,7 +85,7 @@
             balancer = build.Balancer(FIRST, SECOND)
             loads = (peertable.UpstreamLoad(token, 1, False),)
             report = build.build_report("front-2", loads=loads)
-            balancer.dispatcher.hear_peer(report, 0.0)
+            balancer.dispatcher.monitor.hear_peer(report, 0.0)
             upstream = balancer.open(40_000 + attempt, 0.0)
             assert upstream.token != token
 
@@ -96,7 +96,9 @@
     configuration = build.build_configuration()._replace(services={"booking": limits})
     balancer = build.Balancer(FIRST, SECOND, configuration=configuration)
     loads = (peertable.UpstreamLoad(FIRST.token, 2, False),)
-    balancer.dispatcher.hear_peer(build.build_report("front-2", loads=loads), 0.0)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 0.0
+    )
     assert place(balancer, 4, 0.0) == {FIRST.name: 1, SECOND.name: 3}
     refused = balancer.send(build.build_segment(), 0.0)
     assert refused == segments.Refuse("no upstream of booking")
