--- a/src/pistachioshed/adapters/feed.py
+++ b/src/pistachioshed/adapters/feed.py
@@ -50,6 +50,12 @@
 
     async def run(self) -> None:
         """Deliver snapshots and changes until cancelled."""
+        try:
+            await self._run()
+        finally:
+            self.client.close()
+
+    async def _run(self) -> None:
         pause_s = RETRY_FIRST_S
         while True:
             try:
--- a/src/pistachioshed/adapters/metrics.py
+++ b/src/pistachioshed/adapters/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a process, by `aioprometheus`."""
 
 import typing
+from collections import abc
 
 from aioprometheus import collectors, renderer
 
@@ -17,46 +18,39 @@
     def __init__(self, prefix: str) -> None:
         self.prefix = prefix
         self.registry = collectors.Registry()
-        self.counters: dict[str, collectors.Counter] = {}
-        self.gauges: dict[str, collectors.Gauge] = {}
-        self.histograms: dict[str, collectors.Histogram] = {}
+        self.collectors: dict[str, typing.Any] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter."""
-        counter = self.counters.get(name)
-        if counter is None:
-            counter = collectors.Counter(
-                f"{self.prefix}_{name}_total",
-                name.replace("_", " "),
-                registry=self.registry,
-            )
-            self.counters[name] = counter
-        counter.add(labels, amount)
+        self._find(collectors.Counter, f"{name}_total").add(labels, amount)
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
-        gauge = self.gauges.get(name)
-        if gauge is None:
-            gauge = collectors.Gauge(
-                f"{self.prefix}_{name}",
-                name.replace("_", " "),
-                registry=self.registry,
-            )
-            self.gauges[name] = gauge
-        gauge.set(labels, value)
+        self._find(collectors.Gauge, name).set(labels, value)
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add a duration to a histogram."""
-        histogram = self.histograms.get(name)
-        if histogram is None:
-            histogram = collectors.Histogram(
-                f"{self.prefix}_{name}_seconds",
+        histogram = self._find(
+            collectors.Histogram, f"{name}_seconds", buckets=LATENCY_BUCKETS_S
+        )
+        histogram.observe(labels, seconds)
+
+    def _find(
+        self,
+        make: abc.Callable[..., typing.Any],
+        name: str,
+        **options: typing.Any,
+    ) -> typing.Any:
+        collector = self.collectors.get(name)
+        if collector is None:
+            collector = make(
+                f"{self.prefix}_{name}",
                 name.replace("_", " "),
                 registry=self.registry,
-                buckets=LATENCY_BUCKETS_S,
+                **options,
             )
-            self.histograms[name] = histogram
-        histogram.observe(labels, seconds)
+            self.collectors[name] = collector
+        return collector
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/src/pistachioshed/ports/store.py
+++ b/src/pistachioshed/ports/store.py
@@ -142,6 +142,9 @@
     ) -> WatchBatch:
         """Return the changes after a revision, or raise `HistoryLost`."""
 
+    def close(self) -> None:
+        """End the connection."""
+
 
 class Watch(typing.Protocol):
     """A running watch."""
--- a/tests/dispatchbuilders.py
+++ b/tests/dispatchbuilders.py
@@ -181,3 +181,13 @@
     def find_events(self, event: str) -> list[dict[str, typing.Any]]:
         """Return the fields of all lines of one event."""
         return [fields for name, fields in self.log if name == event]
+
+
+FIRST: typing.Final = build_upstream(1)
+SECOND: typing.Final = build_upstream(2, zone="riga-b")
+SHEETS: typing.Final = build_upstream(9, service="sheets")
+
+
+def find_other(upstream: directory.Upstream) -> directory.Upstream:
+    """Return the other one of the first two upstreams."""
+    return SECOND if upstream == FIRST else FIRST
--- a/tests/forwarderfleet.py
+++ b/tests/forwarderfleet.py
@@ -148,6 +148,12 @@
         self.running[name] = started, task
         return started
 
+    async def start_serving(self, number: int) -> forwarder.Forwarder:
+        """Start a forwarder and wait until it serves."""
+        started = await self.start_forwarder(number)
+        await wait_until(lambda: started.serving.state == "serving")
+        return started
+
     def open_inbox(self, ip: str, port: int = 0) -> Inbox:
         """Open a socket that plays a caller or a host."""
         inbox = Inbox((ip, port))
--- /dev/null
+++ b/tests/replicationbuilders.py
@@ -0,0 +1,63 @@
+"""Builders and checks for tests of replication."""
+
+from collections import abc
+
+from pistachioshed.core import hashing
+from tests import fakes
+
+SERVICE = "booking"
+FLOWS = tuple(number.to_bytes(6, "big") for number in range(4_000))
+
+
+def choose_owner(network: fakes.Network, flow: bytes, *without: str) -> str:
+    """Return the owner of a flow among the started peers."""
+    names = sorted(network.peers.keys() - set(without))
+    fingerprint = hashing.fingerprint_flow(SERVICE, flow)
+    choices = [hashing.Choice(name, 1.0) for name in names]
+    return hashing.rank_choices(fingerprint, choices)[0]
+
+
+def put_all(network: fakes.Network, flows: abc.Iterable[bytes] = FLOWS) -> None:
+    """Put an exception for each flow at its owner."""
+    for flow in flows:
+        owner = network.peers[choose_owner(network, flow)]
+        owner.replicator.put(SERVICE, flow, choose_upstream(flow))
+
+
+def put_owned(network: fakes.Network, name: str, count: int) -> list[bytes]:
+    """Put exceptions for flows that a peer owns."""
+    owned = [flow for flow in FLOWS if choose_owner(network, flow) == name][:count]
+    put_all(network, owned)
+    return owned
+
+
+def choose_upstream(flow: bytes) -> str:
+    """Return the upstream of a flow's exception."""
+    return f"booking-{flow[-1] % 7}"
+
+
+def find_missing(
+    network: fakes.Network, flows: abc.Iterable[bytes], gone: str
+) -> list[bytes]:
+    """Return flows whose owner does not know the upstream once a peer is gone."""
+    return [
+        flow
+        for flow in flows
+        if network.peers[choose_owner(network, flow, gone)].replicator.find(
+            SERVICE, flow
+        )
+        != choose_upstream(flow)
+    ]
+
+
+def check_backups(network: fakes.Network) -> dict[tuple[str, str, bytes], str]:
+    """Check that each peer holds exactly what the others replicate to it."""
+    expected, held = {}, {}
+    for name, peer in network.peers.items():
+        assert peer.replicator.is_flushed()
+        for mark, entry in peer.replicator.exceptions.get(SERVICE, {}).items():
+            expected[name, entry.target, mark] = entry.upstream
+        for mark, binding in peer.replicator.inbox.received.get(SERVICE, {}).items():
+            held[binding.source.owner, name, mark] = binding.upstream
+    assert held == expected
+    return held
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -35,12 +35,8 @@
             host = fleet.open_inbox("127.0.0.50")
             caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
             fleet.register("i-7f3a91c2", host.address)
-            first = await fleet.start_forwarder(1)
-            second = await fleet.start_forwarder(2)
-            for each in (first, second):
-                await forwarderfleet.wait_until(
-                    lambda each=each: bool(each.dispatcher.directory.upstreams)  # type: ignore[misc]
-                )
+            first = await fleet.start_serving(1)
+            second = await fleet.start_serving(2)
             opening = forwarderfleet.build_opening(40001)
             data = forwarderfleet.encode_packet(opening)
             caller.send(data, first.settings.packets)
@@ -137,8 +133,7 @@
     async def scenario() -> None:
         async with open_fleet(tmp_path) as fleet:
             fleet.register("i-00000001", ("127.0.0.50", 9))
-            first = await fleet.start_forwarder(1)
-            await forwarderfleet.wait_until(lambda: first.serving.state == "serving")
+            first = await fleet.start_serving(1)
             fleet.store.failure = "silent"
             second = await fleet.start_forwarder(2)
             await forwarderfleet.wait_until(lambda: second.serving.state == "serving")
@@ -153,9 +148,8 @@
     async def scenario() -> None:
         async with open_fleet(tmp_path) as fleet:
             fleet.register("i-00000001", ("127.0.0.50", 9))
-            first = await fleet.start_forwarder(1)
+            first = await fleet.start_serving(1)
             directory = first.dispatcher.directory
-            await forwarderfleet.wait_until(lambda: bool(directory.upstreams))
             fleet.store.failure = "busy"
             fleet.store.changed.set()
             fleet.remove("i-00000001")
@@ -171,8 +165,7 @@
 
     async def scenario() -> None:
         async with open_fleet(tmp_path) as fleet:
-            first = await fleet.start_forwarder(1)
-            await forwarderfleet.wait_until(lambda: first.serving.state == "serving")
+            first = await fleet.start_serving(1)
             response = await forwarderfleet.get(first.settings.metrics, "/metrics")
             assert response.status == 200
             assert b"pistachioshed_forwarder_configuration_version 1" in response.body
@@ -222,9 +215,8 @@
             for number in range(1, metadatastore.PAGE_ITEMS + 11):
                 fleet.register(f"i-{number:08x}", ("127.0.0.50", 1000 + number))
             fleet.register("i-00000003", ("nowhere", 9))
-            first = await fleet.start_forwarder(1)
+            first = await fleet.start_serving(1)
             directory = first.dispatcher.directory
-            await forwarderfleet.wait_until(lambda: bool(directory.upstreams))
             assert len(directory.upstreams) == metadatastore.PAGE_ITEMS + 9
             fleet.register("i-00000004", ("127.0.0.50", 9), state="resting")
             fleet.register("i-00000005", ("127.0.0.50", 9), state="draining")
@@ -244,10 +236,7 @@
             host = fleet.open_inbox("127.0.0.50")
             caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
             fleet.register("i-00000001", host.address)
-            first = await fleet.start_forwarder(1)
-            await forwarderfleet.wait_until(
-                lambda: bool(first.dispatcher.directory.upstreams)
-            )
+            first = await fleet.start_serving(1)
             first.request_stop()
             task = fleet.running["front-1"][1]
             served = 0
@@ -275,10 +264,7 @@
         async with open_fleet(tmp_path) as fleet:
             caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
             fleet.register("i-00000001", ("127.0.0.50", 9))
-            first = await fleet.start_forwarder(1)
-            await forwarderfleet.wait_until(
-                lambda: bool(first.dispatcher.directory.upstreams)
-            )
+            first = await fleet.start_serving(1)
             opening = forwarderfleet.build_opening(40001)
             caller.send(forwarderfleet.encode_packet(opening), first.settings.packets)
             await forwarderfleet.wait_until(lambda: first.unserved == ["booking"])
--- /dev/null
+++ b/tests/test_monitor.py
@@ -0,0 +1,258 @@
+"""Which upstreams are held for silent, and what is done to find out."""
+
+from pistachioshed.core import (
+    dispatch,
+    passivehealth,
+    peertable,
+)
+from tests import dispatchbuilders as build
+
+
+def test_one_silent_opening_leads_to_a_probe_and_two_to_suspicion() -> None:
+    """Guard against hosts that are shunned for one lost packet."""
+    balancer = build.Balancer(build.FIRST)
+    balancer.open(40000, now=0.0)
+    assert balancer.tick(0.08) == [build.FIRST]
+    assert balancer.find_events("upstream suspected") == []
+    balancer.open(40001, now=0.1)
+    balancer.tick(0.2)
+    (event,) = balancer.find_events("upstream suspected")
+    assert event["upstream"] == build.FIRST.name
+
+
+def test_a_pause_of_the_process_is_no_silence_of_upstreams() -> None:
+    """Guard against a balancer that wakes from a freeze and shuns every host."""
+    balancer = build.Balancer(build.FIRST)
+    balancer.tick(1.0)
+    balancer.open(40000, now=1.0)
+    balancer.open(40001, now=1.0)
+    balancer.dispatcher.tick(5.0)
+    assert balancer.find_events("upstream suspected") == []
+
+
+def test_a_late_response_of_a_silent_host_leads_to_a_probe() -> None:
+    """Guard against callers that wait for a host which no new flow would uncover."""
+    balancer = build.Balancer(build.FIRST)
+    balancer.open(now=0.0)
+    balancer.answer(build.FIRST, now=0.01)
+    assert balancer.tick(0.2) == []
+    assert balancer.tick(0.5) == [build.FIRST]
+
+
+def test_a_suspicion_of_the_same_zone_counts_at_once() -> None:
+    """Guard against a dead host that each balancer has to find out by itself."""
+    balancer = build.Balancer(build.FIRST, build.SECOND)
+    loads = (peertable.UpstreamLoad(build.FIRST.token, 0, True),)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 1.0
+    )
+    placed = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
+    assert placed == {build.SECOND}
+    assert balancer.dispatcher.monitor.list_loads()[0].token == build.SECOND.token
+
+
+def test_a_suspicion_of_a_host_that_has_just_answered_is_ignored() -> None:
+    """Guard against a healthy host that is shunned for a packet that a peer lost."""
+    balancer = build.Balancer(build.FIRST)
+    balancer.open(now=0.0)
+    balancer.answer(build.FIRST, now=0.95)
+    loads = (peertable.UpstreamLoad(build.FIRST.token, 0, True),)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 1.0
+    )
+    assert balancer.find_events("upstream suspected") == []
+    assert balancer.dispatcher.find_unserved() == []
+
+
+def test_an_upstream_that_answers_others_is_not_blamed_for_a_lost_opening() -> None:
+    """Guard against probes and suspicion on links that lose packets."""
+    balancer = build.Balancer(build.FIRST)
+    for port in range(40000, 40010):
+        balancer.open(port, now=0.0)
+    balancer.answer(build.FIRST, 40000, now=0.03)
+    assert balancer.tick(0.1) == []
+    assert balancer.find_events("upstream suspected") == []
+
+
+def test_a_suspicion_of_another_zone_is_checked_before_it_counts() -> None:
+    """Guard against a zone that is cut off and makes the others shun its hosts."""
+    balancer = build.Balancer(build.FIRST)
+    loads = (peertable.UpstreamLoad(build.FIRST.token, 0, True),)
+    report = build.build_report("front-9", zone="riga-c", loads=loads)
+    balancer.dispatcher.monitor.hear_peer(report, 1.0)
+    assert balancer.dispatcher.find_unserved() == []
+    assert balancer.dispatcher.tick(1.02) == []
+    # A flow that waits there makes it worth a probe.
+    balancer.open(now=1.03)
+    balancer.answer(build.FIRST, now=1.04)
+    balancer.dispatcher.monitor.hear_peer(report._replace(sequence=2), 1.2)
+    assert balancer.dispatcher.find_unserved() == []
+    assert balancer.dispatcher.tick(1.22) == [build.FIRST]
+
+
+def test_upstreams_of_a_silent_zone_are_the_last_choice() -> None:
+    """Guard against openings sent into a zone that is cut off."""
+    balancer = build.Balancer(build.FIRST, build.SECOND)
+    report = build.build_report("front-9", zone="riga-b")
+    balancer.dispatcher.monitor.hear_peer(report, 0.0)
+    balancer.tick(1.0)
+    assert balancer.dispatcher.monitor.partitioned_zones == {"riga-b"}
+    placed = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
+    assert placed == {build.FIRST}
+
+
+def test_unserved_services_are_named() -> None:
+    """Guard against a balancer without paths that stays in the rotation."""
+    balancer = build.Balancer(build.FIRST, build.SHEETS)
+    assert balancer.dispatcher.find_unserved() == []
+    balancer.open(now=0.0)
+    balancer.dispatcher.monitor.health[build.FIRST.name, 1].suspect(0.1)
+    assert balancer.dispatcher.find_unserved() == ["booking"]
+
+
+def test_openings_for_a_refusing_upstream_are_not_offered_to_others() -> None:
+    """Guard against hosts blamed for callers that its machine has reset already.
+
+    Incident of `booth-lb`: two hosts crashed, and openings that their callers had given
+    up went from host to host, each of which seemed silent.
+    """
+    balancer = build.Balancer(build.FIRST, build.SECOND)
+    upstream = balancer.open(now=0.0)
+    assert balancer.tick(0.08) == [upstream]
+    balancer.take_orders()
+    balancer.dispatcher.record_probe(upstream, "refused", "no listener", 0.085)
+    balancer.tick(1.0)
+    assert balancer.take_orders() == []
+    assert balancer.dispatcher.monitor.health[upstream.name, 1].suspected_at is not None
+    assert (
+        balancer.dispatcher.monitor.health[build.find_other(upstream).name, 1].failures
+        == 0
+    )
+
+
+def test_moved_openings_are_not_held_against_the_next_upstream() -> None:
+    """Guard against suspicion of every host for one caller that has gone."""
+    balancer = build.Balancer(build.FIRST, build.SECOND)
+    upstream = balancer.open(now=0.0)
+    balancer.tick(2.0)
+    moves = len(balancer.find_events("placed")) - 1
+    assert moves == dispatch.MOVES_MAX
+    assert balancer.dispatcher.book.waiting == {}
+    assert (
+        balancer.dispatcher.monitor.health[build.find_other(upstream).name, 1].failures
+        == 0
+    )
+
+
+def test_a_host_with_a_false_health_check_is_tried_again() -> None:
+    """Guard against a healthy host that is lost because its health check fails."""
+    balancer = build.Balancer(build.FIRST, build.SECOND)
+    health = balancer.dispatcher.monitor.health[build.FIRST.name, 1] = (
+        passivehealth.PassiveHealth()
+    )
+    health.suspect(0.0)
+    balancer.tick(1.0)
+    health.probing = False
+    balancer.dispatcher.record_probe(build.FIRST, "refused", "no listener", 1.0)
+    before = {balancer.open(port, now=1.0) for port in range(40000, 40010)}
+    assert before == {build.SECOND}
+    later = passivehealth.TRIAL_FIRST_S + 0.1
+    tried = [balancer.open(port, now=later) for port in range(41000, 41010)]
+    assert tried.count(build.FIRST) == 1
+    much_later = later + 10 * passivehealth.TRIAL_MAX_S
+    again = [balancer.open(port, now=much_later) for port in range(42000, 42010)]
+    assert again.count(build.FIRST) == 1
+    balancer.answer(
+        build.FIRST, 42000 + again.index(build.FIRST), now=much_later + 0.01
+    )
+    assert health.suspected_at is None
+
+
+def test_the_death_of_a_zones_only_balancer_does_not_cut_its_upstreams_off() -> None:
+    """Guard against healthy hosts that are shunned because a balancer beside them died.
+
+    A zone of the users has a single balancer, and three hosts of one service.
+    """
+    balancer = build.Balancer(build.FIRST, build.SECOND)
+    report = build.build_report("front-9", zone="riga-b")
+    balancer.dispatcher.monitor.hear_peer(report, 0.0)
+    probed = balancer.tick(1.0)
+    assert build.SECOND in probed
+    balancer.dispatcher.record_probe(build.SECOND, "passed", "status 200", 1.0)
+    balancer.tick(1.1)
+    assert balancer.dispatcher.monitor.partitioned_zones == set()
+    loads = (peertable.UpstreamLoad(build.FIRST.token, 5, False),)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 1.1
+    )
+    assert balancer.open(now=1.1) == build.SECOND
+
+
+def test_a_zone_that_is_cut_off_is_asked_from_time_to_time() -> None:
+    """Guard against a zone that stays shunned after the cut, and too many probes."""
+    balancer = build.Balancer(build.FIRST, build.SECOND)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-9", zone="riga-b"), 0.0
+    )
+    probes = 0
+    for step in range(1, 500):
+        for upstream in balancer.tick(step * 0.02):
+            probes += 1
+            balancer.dispatcher.record_probe(upstream, "silent", "timeout", step * 0.02)
+    assert balancer.dispatcher.monitor.partitioned_zones == {"riga-b"}
+    assert 15 <= probes <= 21
+    balancer.dispatcher.record_probe(build.SECOND, "passed", "status 200", 10.0)
+    balancer.tick(10.1)
+    assert balancer.dispatcher.monitor.partitioned_zones == set()
+
+
+def test_a_host_whose_probes_pass_while_flows_stay_silent_is_trusted_less() -> None:
+    """Guard against a host with a false health check that gets flow after flow."""
+    health = passivehealth.PassiveHealth()
+    waits = []
+    now = 0.0
+    for _ in range(5):
+        health.suspect(now)
+        start = now
+        while not health.record_probe(passed=True, silent=False, now=now):
+            now += 0.1
+        waits.append(now - start)
+    assert waits[0] < 0.4
+    assert waits == sorted(waits)
+    assert waits[-1] >= passivehealth.HOLD_MAX_S / 2
+
+
+def test_probes_of_a_suspected_host_do_not_grow_with_the_fleet() -> None:
+    """Guard against a fleet that floods a host with health checks.
+
+    `booth-lb-grown`, trouble-1: when a zone came back, 53 balancers probed each of its
+    hosts in the same moment, and hosts reset connections that were over their cap.
+    """
+    probes = 0
+    for _ in range(50):
+        balancer = build.Balancer(build.FIRST, build.SECOND)
+        loads = (peertable.UpstreamLoad(build.FIRST.token, 0, True),)
+        for sequence in range(1, 50):
+            now = sequence * 0.1
+            report = build.build_report("front-2", sequence=sequence, loads=loads)
+            balancer.dispatcher.monitor.hear_peer(report, now)
+            probes += len(balancer.dispatcher.tick(now))
+        assert balancer.open(now=5.0) == build.SECOND
+    assert probes == 0
+
+
+def test_the_suspicion_of_a_peer_ends_with_it() -> None:
+    """Guard against a host that is shunned after its only accuser trusts it or dies."""
+    balancer = build.Balancer(build.FIRST)
+    loads = (peertable.UpstreamLoad(build.FIRST.token, 0, True),)
+    report = build.build_report("front-2", loads=loads)
+    balancer.dispatcher.monitor.hear_peer(report, 0.0)
+    assert balancer.dispatcher.find_unserved() == ["booking"]
+    balancer.dispatcher.monitor.hear_peer(report._replace(sequence=2, loads=()), 0.1)
+    assert balancer.dispatcher.find_unserved() == []
+    balancer.dispatcher.monitor.hear_peer(report._replace(sequence=3), 0.2)
+    assert balancer.dispatcher.find_unserved() == ["booking"]
+    balancer.tick(2.0)
+    assert balancer.dispatcher.find_unserved() == []
+    events = [name for name, _ in balancer.log if name.startswith("peer")]
+    assert events == ["peer suspects upstream", "peers trust upstream"] * 2
