--- a/tests/test_statemodel.py
+++ b/tests/test_statemodel.py
@@ -1,4 +1,4 @@
-"""A model of a forwarder's state in any order: entries, lapses, restarts, reuse, stale batches."""
+"""A model of a forwarder's state: entries, lapses, restarts, reuse, stale batches."""
 
 import typing
 
