--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import pytest
 
 from pistachioshed.core import (
+    flowbook,
     peertable,
     routing,
     segments,
@@ -237,3 +238,41 @@
     balancer.send(response._replace(token=other.token), 0.06)
     assert balancer.dispatcher.book.waiting == {}
     assert balancer.dispatcher.monitor.find(other).outstanding == 0
+
+
+def test_the_flows_that_are_kept_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against callers that open flows until the memory is used up."""
+    monkeypatch.setattr(flowbook, "FLOWS_MAX", 10)
+    balancer = build.Balancer(build.FIRST)
+    for port in range(40000, 40050):
+        balancer.open(port, now=0.0)
+    assert len(balancer.dispatcher.book.flows) == 10
+    assert balancer.dispatcher.monitor.find(build.FIRST).outstanding == 10
+
+
+def test_idle_flows_are_forgotten() -> None:
+    """Guard against flows of callers that vanished and are kept for ever."""
+    balancer = build.Balancer(build.FIRST)
+    balancer.open(40000, now=0.0)
+    balancer.answer(build.FIRST, 40000, now=0.01)
+    balancer.tick(10.0)
+    assert len(balancer.dispatcher.book.flows) == 1
+    balancer.tick(16.0)
+    assert balancer.dispatcher.book.flows == {}
+
+
+def test_what_can_be_served_in_time_follows_the_responses() -> None:
+    """Guard against a queue that grows past the deadline when a service turns slow."""
+    balancer = build.Balancer(build.FIRST)
+    loads = (peertable.UpstreamLoad(build.FIRST.token, 20, False),)
+    balancer.dispatcher.monitor.hear_peer(
+        build.build_report("front-2", loads=loads), 0.0
+    )
+    chooser = balancer.dispatcher.chooser
+    route = build.build_route()
+    chooser.learn_latency(route, build.FIRST, 0.03)
+    assert isinstance(balancer.send(build.build_segment()), segments.Forward)
+    for _ in range(100):
+        chooser.learn_latency(route, build.FIRST, 0.3)
+    other = build.build_segment(caller=(build.CALLER[0], 40002))
+    assert balancer.send(other) == segments.Refuse("booking is overloaded")
