--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -276,3 +276,14 @@
         chooser.learn_latency(route, build.FIRST, 0.3)
     other = build.build_segment(caller=(build.CALLER[0], 40002))
     assert balancer.send(other) == segments.Refuse("booking is overloaded")
+
+
+def test_a_request_past_its_time_no_longer_weighs_on_its_upstream() -> None:
+    """Guard against load that is counted for callers who have given up."""
+    balancer = build.Balancer(build.FIRST)
+    balancer.open(now=0.0)
+    balancer.answer(build.FIRST, now=0.01)
+    balancer.tick(1.0)
+    assert balancer.dispatcher.monitor.find(build.FIRST).outstanding == 1
+    balancer.tick(2.6)
+    assert balancer.dispatcher.monitor.find(build.FIRST).outstanding == 0
