--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -256,3 +256,18 @@
     assert balancer.dispatcher.find_unserved() == []
     events = [name for name, _ in balancer.log if name.startswith("peer")]
     assert events == ["peer suspects upstream", "peers trust upstream"] * 2
+
+
+def test_life_after_a_peer_began_to_suspect_outweighs_its_later_reports() -> None:
+    """Guard against a host that answers here and is shunned for a peer's bad path."""
+    balancer = build.Balancer(build.FIRST)
+    balancer.open(now=0.0)
+    loads = (peertable.UpstreamLoad(build.FIRST.token, 0, True),)
+    report = build.build_report("front-2", loads=loads)
+    balancer.dispatcher.monitor.hear_peer(report, 0.1)
+    assert balancer.dispatcher.find_unserved() == ["booking"]
+    balancer.answer(build.FIRST, now=0.5)
+    for sequence in range(2, 8):
+        now = 0.5 + sequence * 0.2
+        balancer.dispatcher.monitor.hear_peer(report._replace(sequence=sequence), now)
+        assert balancer.dispatcher.find_unserved() == []
