--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -8,6 +8,10 @@
 import time
 from collections import abc
 
+import pytest
+
+from pistachioshed.adapters import http1
+from pistachioshed.apps import forwarder
 from pistachioshed.platform import packets
 from standins import metadatastore
 from tests import forwarderfleet
@@ -286,13 +290,93 @@
             assert second not in first.peers.addresses
             fleet.write_settings(1, seeds="127.0.1.2:1")
             await forwarderfleet.wait_until(lambda: second in first.peers.addresses)
-            third = ("127.0.1.3", fleet.peers_port)
-            fleet.write_settings(1, seeds="127.0.1.3:1")
-            os.kill(os.getpid(), signal.SIGHUP)
-            await asyncio.sleep(0)
-            await forwarderfleet.wait_until(lambda: third in first.peers.addresses)
-            (first.path).write_text("[balancer]\nname = \n")
+            first.path.write_text("[balancer]\nname = \n")
             first.reload("signal")
             assert first.settings.name == "front-1"
 
     asyncio.run(scenario())
+
+
+def test_seeds_are_read_again_at_a_signal(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a reload that waits for the next look at the file."""
+    monkeypatch.setattr(forwarder, "SETTINGS_POLL_S", 600.0)
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            first = await fleet.start_serving(1)
+            second = ("127.0.1.2", fleet.peers_port)
+            fleet.write_settings(1, seeds="127.0.1.2:1")
+            os.kill(os.getpid(), signal.SIGHUP)
+            await forwarderfleet.wait_until(lambda: second in first.peers.addresses)
+
+    asyncio.run(scenario())
+
+
+def test_a_stop_ends_in_time_while_packets_keep_coming(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against a process that is killed with its grace over."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
+            first = await fleet.start_serving(1)
+            requested_at = time.monotonic()
+            first.request_stop()
+            task = fleet.running["front-1"][1]
+            packet = forwarderfleet.encode_packet(forwarderfleet.build_opening(40001))
+            while not task.done():
+                assert time.monotonic() - requested_at < first.settings.stop_s
+                caller.send(packet, first.settings.packets)
+                await asyncio.sleep(0.05)
+
+    asyncio.run(scenario())
+
+
+def test_openings_that_arrive_during_the_start_are_placed(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against callers refused in the milliseconds until the state is read."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            host = fleet.open_inbox("127.0.0.50")
+            caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
+            fleet.register("i-00000001", host.address)
+            first = await fleet.start_forwarder(1)
+            packet = forwarderfleet.encode_packet(forwarderfleet.build_opening(40001))
+            caller.send(packet, first.settings.packets)
+            assert (await host.receive())[8:16] == packet[:8]
+            with pytest.raises(TimeoutError):
+                await caller.receive(0.1)
+
+    asyncio.run(scenario())
+
+
+def test_a_health_check_of_another_host_at_the_address_does_not_count(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against trust in a dead host whose address another one uses."""
+
+    async def answer(request: http1.Request) -> http1.Response:
+        return http1.Response(200, {"Instance-Id": "i-00000002"}, b"")
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
+            server = await http1.start_server(("127.0.0.50", 0), answer)
+            fleet.register("i-00000001", server.sockets[0].getsockname())
+            first = await fleet.start_serving(1)
+            packet = forwarderfleet.encode_packet(forwarderfleet.build_opening(40001))
+            caller.send(packet, first.settings.packets)
+            await forwarderfleet.wait_until(lambda: first.unserved == ["booking"])
+            probes = first.metrics.collectors["probes_total"]
+            await forwarderfleet.wait_until(
+                lambda: probes.get({"outcome": "failed"}) >= 3
+            )
+            assert first.unserved == ["booking"]
+            server.close()
+
+    asyncio.run(scenario())
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -164,3 +164,18 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+def test_a_body_above_the_bound_is_not_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a peer whose answer uses up the memory."""
+    monkeypatch.setattr(http1, "BODY_MAX_BYTES", 1_000)
+
+    async def scenario() -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n"
+        server = await serve_bytes(head + b"x" * 2_000)
+        connection = http1.Connection(server.sockets[0].getsockname())
+        with pytest.raises(http1.HttpError, match="body of over 1000 bytes"):
+            await connection.request("GET", "/", 1.0)
+        server.close()
+
+    asyncio.run(scenario())
