Keep reports within a byte budget; start without absl and aioprometheus

A tick of 20 ms also walked all upstreams and peers each time.

Loads are now datagrams of their own within 8 KB/s, what peers act on at once is news, and the rest of a report is sent each second or two. Ticks are 50 ms apart unless an opening waits; peers are reviewed each 0.1 s. absl.logging is not imported by the forwarder, aioprometheus with the first scrape.

--- a/src/pistachioshed/adapters/jsonlog.py
+++ b/src/pistachioshed/adapters/jsonlog.py
@@ -1,17 +1,18 @@
-"""Structured logs: one JSON object a line on standard error, by `absl.logging`."""
+"""Structured logs: one JSON object a line, on the logger of `absl.logging`.
 
-import logging as standard_logging
+Programs that import `absl.logging` share that logger. The forwarder does not import
+it, because its flags and their parsers lengthen every start.
+"""
+
+import logging
 import os
 import sys
 import time
 import typing
 
 import msgspec
-from absl import logging
-
-ROOT_FIELDS: typing.Final = ("node", "zone")
-
 
+LOGGER_NAME: typing.Final = "absl"
 # A machine of the users opens about 30 flows a second, with 2 lines each; a burst
 # holds the lines of a restart of all upstreams.
 LINES_PER_S: typing.Final = 100.0
@@ -75,14 +76,14 @@
         return len(text)
 
 
-class JsonFormatter(standard_logging.Formatter):
+class JsonFormatter(logging.Formatter):
     """Format a log record as one JSON object."""
 
     def __init__(self, identity: dict[str, str]) -> None:
         super().__init__()
         self.identity = identity
 
-    def format(self, record: standard_logging.LogRecord) -> str:
+    def format(self, record: logging.LogRecord) -> str:
         """Return the record's line."""
         line: dict[str, object] = {
             "time": round(record.created, 3),
@@ -110,27 +111,27 @@
     stream : text stream
         Where the lines go.
     """
-    handler = standard_logging.StreamHandler(stream)
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(JsonFormatter(identity))
-    root = standard_logging.getLogger()
+    root = logging.getLogger()
     root.handlers[:] = [handler]
-    absl_logger = logging.get_absl_logger()
-    absl_logger.propagate = True
-    absl_logger.handlers[:] = []
-    logging.set_verbosity(logging.INFO)
-    root.setLevel(standard_logging.INFO)
+    root.setLevel(logging.INFO)
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.propagate = True
+    logger.handlers[:] = []
+    logger.setLevel(logging.INFO)
 
 
 def log_event(event: str, **fields: object) -> None:
     """Log one event with its fields."""
-    logging.get_absl_logger().info({"event": event, **fields})
+    logging.getLogger(LOGGER_NAME).info({"event": event, **fields})
 
 
 def log_failure(event: str, **fields: object) -> None:
     """Log a failure with its fields; give `step` and `peer` where they are known."""
-    logging.get_absl_logger().warning({"event": event, **fields})
+    logging.getLogger(LOGGER_NAME).warning({"event": event, **fields})
 
 
 def log_exception(event: str, **fields: object) -> None:
     """Log the exception in hand with its traceback."""
-    logging.get_absl_logger().error({"event": event, **fields}, exc_info=True)
+    logging.getLogger(LOGGER_NAME).error({"event": event, **fields}, exc_info=True)
--- a/src/pistachioshed/adapters/metrics.py
+++ b/src/pistachioshed/adapters/metrics.py
@@ -1,9 +1,11 @@
-"""Metrics of a process, by `aioprometheus`."""
+"""Metrics of a process, by `aioprometheus`.
 
-import typing
-from collections import abc
+The library is imported with the first scrape, or after the first `PENDING_MAX` calls:
+its import lengthens the start of a process, and nothing waits for metrics then.
+"""
 
-from aioprometheus import collectors, renderer
+import importlib
+import typing
 
 CONTENT_TYPE: typing.Final = "text/plain; version=0.0.4"
 # From a fifth of the shortest job of the users' tables to their longest deadline.
@@ -12,47 +14,83 @@
 ]  # fmt: skip
 
 
+PENDING_MAX: typing.Final = 2_000  # Some seconds of a busy process; about 0.4 MB.
+
+Kind = typing.Literal["Counter", "Gauge", "Histogram"]
+"""Name of a class of collectors of the library."""
+
+
+class Call(typing.NamedTuple):
+    """A change of a collector that waits for the library."""
+
+    kind: Kind
+    name: str
+    labels: dict[str, str]
+    value: float
+
+
 class Metrics:
     """Counters, gauges and histograms of one process, made on first use."""
 
     def __init__(self, prefix: str) -> None:
         self.prefix = prefix
-        self.registry = collectors.Registry()
+        self.library: typing.Any = None
+        self.registry: typing.Any = None
         self.collectors: dict[str, typing.Any] = {}
+        self.pending: list[Call] = []
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter."""
-        self._find(collectors.Counter, f"{name}_total").add(labels, amount)
+        self._take(Call("Counter", f"{name}_total", labels, amount))
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
-        self._find(collectors.Gauge, name).set(labels, value)
+        self._take(Call("Gauge", name, labels, value))
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add a duration to a histogram."""
-        histogram = self._find(
-            collectors.Histogram, f"{name}_seconds", buckets=LATENCY_BUCKETS_S
-        )
-        histogram.observe(labels, seconds)
-
-    def _find(
-        self,
-        make: abc.Callable[..., typing.Any],
-        name: str,
-        **options: typing.Any,
-    ) -> typing.Any:
-        collector = self.collectors.get(name)
-        if collector is None:
-            collector = make(
-                f"{self.prefix}_{name}",
-                name.replace("_", " "),
-                registry=self.registry,
-                **options,
-            )
-            self.collectors[name] = collector
-        return collector
+        self._take(Call("Histogram", f"{name}_seconds", labels, seconds))
+
+    def load_library(self) -> None:
+        """Import the library, and carry out what waited for it."""
+        self.library = importlib.import_module("aioprometheus")
+        self.registry = self.library.Registry()
+        pending, self.pending = self.pending, []
+        for call in pending:
+            self._carry_out(call)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        content, _ = renderer.render(self.registry, ["text/plain"])
-        return content
+        if self.library is None:
+            self.load_library()
+        content, _ = self.library.render(self.registry, ["text/plain"])
+        return typing.cast(bytes, content)
+
+    def _take(self, call: Call) -> None:
+        if self.library is not None:
+            self._carry_out(call)
+            return
+        self.pending.append(call)
+        if len(self.pending) >= PENDING_MAX:
+            self.load_library()
+
+    def _carry_out(self, call: Call) -> None:
+        collector = self.collectors.get(call.name)
+        if collector is None:
+            collector = self._make_collector(call.kind, call.name)
+            self.collectors[call.name] = collector
+        if call.kind == "Counter":
+            collector.add(call.labels, call.value)
+        elif call.kind == "Gauge":
+            collector.set(call.labels, call.value)
+        else:
+            collector.observe(call.labels, call.value)
+
+    def _make_collector(self, kind: Kind, name: str) -> typing.Any:
+        options = {"buckets": LATENCY_BUCKETS_S} if kind == "Histogram" else {}
+        return getattr(self.library, kind)(
+            f"{self.prefix}_{name}",
+            name.replace("_", " "),
+            registry=self.registry,
+            **options,
+        )
--- a/src/pistachioshed/adapters/reporting.py
+++ b/src/pistachioshed/adapters/reporting.py
@@ -12,20 +12,32 @@
 REPORTS_PER_TURN: typing.Final = 64
 
 
-def encode_report(report: peertable.Report) -> bytes:
-    """Return a report as msgpack."""
-    return msgspec.msgpack.encode(report)
+# The first byte of a datagram; msgpack follows.
+FULL: typing.Final = b"r"
+LOADS_ONLY: typing.Final = b"l"
 
+Message = peertable.Report | peertable.LoadReport
 
-def decode_report(data: bytes) -> peertable.Report:
-    """Read a report.
+
+def encode_report(report: Message) -> bytes:
+    """Return the datagram of a report."""
+    kind = FULL if isinstance(report, peertable.Report) else LOADS_ONLY
+    return kind + msgspec.msgpack.encode(report)
+
+
+def decode_report(data: bytes) -> Message:
+    """Read a datagram.
 
     Raises
     ------
     msgspec.MsgspecError
-        If the bytes are none.
+        If it is none of a peer.
     """
-    return msgspec.msgpack.decode(data, type=peertable.Report)
+    if data[:1] == FULL:
+        return msgspec.msgpack.decode(data[1:], type=peertable.Report)
+    if data[:1] == LOADS_ONLY:
+        return msgspec.msgpack.decode(data[1:], type=peertable.LoadReport)
+    raise msgspec.DecodeError("neither a report nor loads")
 
 
 class ReportSocket:
@@ -34,7 +46,7 @@
     def __init__(
         self,
         address: tuple[str, int],
-        deliver: abc.Callable[[peertable.Report], None],
+        deliver: abc.Callable[[Message, tuple[str, int]], None],
         count: abc.Callable[..., None],
     ) -> None:
         self.deliver = deliver
@@ -48,7 +60,7 @@
         """Take the reports that have arrived, up to a bounded number."""
         for _ in range(REPORTS_PER_TURN):
             try:
-                data = self.sock.recv(REPORT_MAX_BYTES)
+                data, address = self.sock.recvfrom(REPORT_MAX_BYTES)
             except BlockingIOError:
                 return
             except OSError as error:
@@ -59,18 +71,20 @@
             except msgspec.MsgspecError:
                 self.count("reports", outcome="malformed")
                 continue
-            self.deliver(report)
+            self.deliver(report, address)
 
-    def send(
-        self, report: peertable.Report, addresses: abc.Iterable[tuple[str, int]]
-    ) -> None:
-        """Send a report to all addresses; a lost one is made good by the next."""
+    def send(self, report: Message, addresses: abc.Iterable[tuple[str, int]]) -> int:
+        """Send a report to all addresses and return its size in bytes.
+
+        A lost one is made good by the next.
+        """
         data = encode_report(report)
         for address in addresses:
             try:
                 self.sock.sendto(data, address)
             except OSError as error:
                 self.count("send_errors", reason=error.strerror or "unknown")
+        return len(data)
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -17,15 +17,20 @@
     reporting,
 )
 from pistachioshed.apps import forwarderoptions, statesync
-from pistachioshed.core import directory, dispatch, peertable, segments, servingstate
+from pistachioshed.core import (
+    directory,
+    dispatch,
+    peertable,
+    reportpacer,
+    segments,
+    servingstate,
+)
 from pistachioshed.platform import packets, records
 
-TICK_S: typing.Final = 0.02  # A third of the time in which an opening is acknowledged.
-REPORT_IDLE_S: typing.Final = 0.25
-# Reports in a burst of new flows. With more recipients they are sent more seldom, so
-# that a balancer sends at most 500 datagrams a second.
-REPORT_MIN_S: typing.Final = 0.01
-REPORT_SQUARE_S: typing.Final = 0.0001
+# With openings that wait for their handshake; a third of the time that they are given.
+TICK_S: typing.Final = 0.02
+# Otherwise; half of the pause after which the dispatcher takes this process as stopped.
+IDLE_TICK_S: typing.Final = 0.05
 PEERS_PASSED_ON: typing.Final = 3  # Under 60 bytes of each report.
 PROBE_TIMEOUT_S: typing.Final = 0.4  # Below the interval of probes.
 PROBE_CONNECT_S: typing.Final = 0.15  # Over ten round trips to another zone.
@@ -58,8 +63,7 @@
         self.clock = time.monotonic
         self.start_ms = time.time_ns() // 1_000_000
         self.sequence = 0
-        self.last_loads: tuple[peertable.UpstreamLoad, ...] = ()
-        self.reported_at = 0.0
+        self.pacer = reportpacer.ReportPacer()
         self.stop_requested_at = 0.0
         self.unserved: list[str] = []
         self.stopped = asyncio.Event()
@@ -125,7 +129,6 @@
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
         loop.call_later(START_GRACE_S, self.open_plane)
-        loop.add_reader(self.reports.sock, self.reports.receive)
         jsonlog.log_event("started", settings=self.settings._asdict())
         self.sync.start_watching()
         self.start_task(self.poll_settings())
@@ -142,7 +145,6 @@
         for server in servers:
             server.close()
         loop.remove_reader(self.plane.sock)
-        loop.remove_reader(self.reports.sock)
         self.plane.close()
         self.reports.close()
         jsonlog.log_event("stopped", dropped_lines=self.count_dropped())
@@ -202,7 +204,10 @@
     async def keep_ticking(self) -> None:
         """Let the dispatcher know that time passes."""
         while not self.stopped.is_set():
-            await asyncio.sleep(TICK_S)
+            is_waiting = bool(self.dispatcher.book.pending)
+            await asyncio.sleep(TICK_S if is_waiting else IDLE_TICK_S)
+            # Read by ticks, as a wake-up costs more than a report.
+            self.reports.receive()
             if self.serving.state != "starting":
                 # Packets that waited while this process did not run go first.
                 self.plane.receive()
@@ -229,44 +234,59 @@
             self.check_stop(now)
 
     def report(self, now: float) -> None:
-        """Send a report when the loads have changed, and from time to time."""
-        waited_s = now - self.reported_at
-        if waited_s < REPORT_MIN_S:
-            return
-        recipients = self.peers.list_recipients(self.sequence)
-        if waited_s < REPORT_MIN_S + REPORT_SQUARE_S * len(recipients) ** 2:
-            return
-        loads = self.dispatcher.monitor.list_loads()
-        if loads == self.last_loads and waited_s < REPORT_IDLE_S:
+        """Tell the peers what is due."""
+        dispatcher = self.dispatcher
+        loads = dispatcher.monitor.list_outstanding()
+        newest = (dispatcher.directory.changed, dispatcher.configuration.version)
+        news = reportpacer.News(
+            dispatcher.monitor.list_suspected(),
+            self.sync.is_lost(now),
+            self.serving.state == "leaving",
+            newest if self.sync.watching else (0, 0),
+        )
+        kind = self.pacer.choose(news, loads, now)
+        if kind is None:
             return
-        self.last_loads = loads
-        self.reported_at = now
         self.sequence += 1
+        recipients = self.peers.list_recipients(self.sequence, kind == "news")
+        message: reporting.Message = peertable.LoadReport(self.sequence, loads)
+        if kind != "loads":
+            message = self.build_report(news, now)
+        sent_bytes = self.reports.send(message, recipients)
+        self.pacer.note_sent(kind, news, loads, sent_bytes, len(recipients), now)
+
+    def build_report(self, news: reportpacer.News, now: float) -> peertable.Report:
+        """Return what peers should know of this balancer."""
         known = [peer.address for peer in self.peers.list_live(now)]
         start = self.sequence % max(1, len(known))
-        report = peertable.Report(
+        return peertable.Report(
             self.settings.name,
             self.settings.zone,
             self.settings.peers,
             self.start_ms,
             self.sequence,
             bool(self.sync.watching),
-            self.sync.is_lost(now),
-            self.serving.state == "leaving",
+            news.lost,
+            news.leaving,
             self.settings.capacity,
             self.dispatcher.directory.changed,
             self.dispatcher.configuration.version,
-            loads,
+            self.dispatcher.monitor.list_loads(),
             # Each report passes on a few peers, so that all learn of all.
             tuple(known[start : start + PEERS_PASSED_ON]),
         )
-        self.reports.send(report, recipients)
 
-    def receive_report(self, report: peertable.Report) -> None:
-        """Take a peer's report."""
-        if report.name not in self.peers.peers and report.name != self.settings.name:
-            jsonlog.log_event("peer found", peer=report.name, peer_zone=report.zone)
-        self.dispatcher.monitor.hear_peer(report, self.clock())
+    def receive_report(
+        self, message: reporting.Message, address: tuple[str, int]
+    ) -> None:
+        """Take what a peer tells of itself."""
+        now = self.clock()
+        if isinstance(message, peertable.LoadReport):
+            self.peers.record_loads(address, message, now)
+            return
+        if message.name not in self.peers.peers and message.name != self.settings.name:
+            jsonlog.log_event("peer found", peer=message.name, peer_zone=message.zone)
+        self.dispatcher.monitor.hear_peer(message, now)
 
     async def probe(self, upstream: directory.Upstream, path: str) -> None:
         """Ask an upstream for its health."""
--- a/src/pistachioshed/core/dispatch.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -5,6 +5,7 @@
 here serve measurement only; losing them loses no flow.
 """
 
+import math
 import typing
 from collections import abc
 
@@ -29,7 +30,8 @@
 # A response is late by then: the users' longest job is 0.23 s, six times its mean.
 RESPONSE_OVERDUE_S: typing.Final = 0.25
 RESPONSE_OVERDUE_FACTOR: typing.Final = 6.0
-WAITING_INTERVAL_S: typing.Final = 0.1
+# What is judged by silences of 0.25 s and more.
+REVIEW_INTERVAL_S: typing.Final = 0.1
 # Callers repeat unacknowledged data after 200 ms; less is a duplicate in the network.
 REPEAT_MIN_S: typing.Final = 0.15
 # A longer pause of this process makes every flow look silent.
@@ -75,7 +77,7 @@
         self.monitor = monitor.HealthMonitor(zone, self.directory, peers, record)
         self.chooser = chooser.Chooser(zone, self.directory, peers, self.monitor, seed)
         self.book = flowbook.FlowBook(self.monitor)
-        self.responses_judged_at = 0.0
+        self.reviewed_at = -math.inf
         self.ticked_at = 0.0
         self.swept_at = 0.0
         self.judge_from = 0.0
@@ -123,10 +125,10 @@
         if now - self.ticked_at > PAUSE_S:
             self.judge_from = now + PAUSE_S
         self.ticked_at = now
-        self.monitor.review_peers(now)
         self._judge_openings(now)
-        if now - self.responses_judged_at >= WAITING_INTERVAL_S:
-            self.responses_judged_at = now
+        if now - self.reviewed_at >= REVIEW_INTERVAL_S:
+            self.reviewed_at = now
+            self.monitor.review_peers(now)
             self._judge_responses(now)
         for update in self.directory.expire(now):
             self._record_update(update)
--- a/src/pistachioshed/core/monitor.py
+++ b/src/pistachioshed/core/monitor.py
@@ -70,6 +70,24 @@
                 )
         return tuple(loads)
 
+    def list_outstanding(self) -> peertable.Loads:
+        """Return this balancer's own outstanding requests at each upstream."""
+        return tuple(
+            (upstream.token, health.outstanding)
+            for incarnation, health in self.health.items()
+            if health.outstanding
+            and (upstream := self._find_current(incarnation)) is not None
+        )
+
+    def list_suspected(self) -> frozenset[int]:
+        """Return the tokens of the upstreams that this balancer itself suspects."""
+        return frozenset(
+            upstream.token
+            for incarnation, health in self.health.items()
+            if health.suspected_at is not None
+            and (upstream := self._find_current(incarnation)) is not None
+        )
+
     def note_silence(
         self, upstream: directory.Upstream, since: float, cause: str, now: float
     ) -> None:
@@ -210,19 +228,19 @@
         """Return the upstreams to probe now."""
         due = []
         for incarnation, health in self.health.items():
+            waited = now - health.probed_at >= PROBE_INTERVAL_S
+            if health.probing or not (
+                health.probe_requested_at > health.probed_at
+                or health.silent_probes == 1
+                or (health.suspected_at is not None and waited)
+            ):
+                continue
             upstream = self._find_current(incarnation)
             if upstream is None or upstream.draining:
                 continue
             if upstream.zone in self.partitioned_zones:
                 continue
-            if upstream.service not in services:
-                continue
-            doubted = health.probe_requested_at > health.probed_at
-            waited = now - health.probed_at >= PROBE_INTERVAL_S
-            again = health.silent_probes == 1
-            if not health.probing and (
-                doubted or again or (health.suspected_at is not None and waited)
-            ):
+            if upstream.service in services:
                 self._start_probe(upstream, now)
                 due.append(upstream)
         return due + self._list_zone_probes(services, now)
--- a/src/pistachioshed/core/peertable.py
+++ b/src/pistachioshed/core/peertable.py
@@ -4,15 +4,18 @@
 import typing
 from collections import abc
 
-# Three missed reports at the idle interval of 0.25 s.
-SILENT_AFTER_S: typing.Final = 0.75
+# A balancer sends something at least this often, a quarter of the time in which the
+# fabric notices a dead one.
+LIFE_INTERVAL_S: typing.Final = 0.25
+SILENT_AFTER_S: typing.Final = 3 * LIFE_INTERVAL_S
 FORGET_AFTER_S: typing.Final = 30.0  # Longer than any partition on the users' pages.
 PEERS_MAX: typing.Final = 512
-# Up to this many peers each report goes to all; with more, the loads go to those of the
-# zone and a few of each other zone learn that it is alive.
+# Up to this many peers each report goes to all; with more, those of each other zone
+# take turns, and those of a large zone. 32 keep the byte budget of `reportpacer`.
 EVERYONE_MAX: typing.Final = 12
 NEAR_MAX: typing.Final = 32
-FAR_PER_ZONE: typing.Final = 4
+# With two, zones of equal size hear of each other twice per interval on average.
+FAR_PER_ZONE: typing.Final = 2
 # Balancers of a zone that follow the store. One is enough where those of other zones
 # show that it is behind; a lone zone has a second one.
 WATCHERS: typing.Final = 1
@@ -51,6 +54,20 @@
     peers: tuple[tuple[str, int], ...]
 
 
+Loads = tuple[tuple[int, int], ...]
+"""Token of an upstream, and a balancer's outstanding requests there."""
+
+
+class LoadReport(typing.NamedTuple):
+    """What changes with each request; the sender is known by its address.
+
+    `sequence` goes on with that of the sender's reports.
+    """
+
+    sequence: int
+    loads: Loads
+
+
 class Suspicion(typing.NamedTuple):
     """How many peers of the zone suspect an upstream, and since when one did."""
 
@@ -88,6 +105,7 @@
         self.seeds = set(seeds)
         self.addresses = set(self.seeds)
         self.peers: dict[str, Peer] = {}
+        self.names: dict[tuple[str, int], str] = {}
         self.loads: dict[int, int] = {}
         self.suspicions: dict[int, Suspicion] = {}
 
@@ -115,11 +133,31 @@
                 return False
             self.peers[report.name] = Peer(report, now)
             self._add_loads(report, 1, now)
+        self.names[report.address] = report.name
         for address in (report.address, *report.peers):
             if len(self.addresses) < PEERS_MAX:
                 self.addresses.add(address)
         return True
 
+    def record_loads(
+        self, address: tuple[str, int], news: LoadReport, now: float
+    ) -> bool:
+        """Take the loads of a known peer; return False if they are old.
+
+        The upstreams that it suspects are those of its last report.
+        """
+        peer = self.peers.get(self.names.get(address, ""))
+        if peer is None or news.sequence <= peer.report.sequence:
+            return False
+        loads = dict(news.loads)
+        suspected = {entry.token for entry in peer.report.loads if entry.suspected}
+        entries = tuple(
+            UpstreamLoad(token, loads.get(token, 0), token in suspected)
+            for token in loads.keys() | suspected
+        )
+        report = peer.report._replace(sequence=news.sequence, loads=entries)
+        return self.record(report, now)
+
     def expire(self, now: float) -> list[str]:
         """Drop the loads of peers that fell silent; return the peers forgotten."""
         forgotten = []
@@ -130,6 +168,7 @@
                 peer.report = peer.report._replace(loads=())
             if silent_s > FORGET_AFTER_S:
                 del self.peers[name]
+                self.names.pop(peer.report.address, None)
                 forgotten.append(name)
                 if peer.report.address not in self.seeds:
                     self.addresses.discard(peer.report.address)
@@ -150,26 +189,42 @@
 
     def list_live(self, now: float) -> list[Report]:
         """Return the reports of the peers heard of lately."""
+        near = sum(peer.report.zone == self.zone for peer in self.peers.values())
+        # In a large zone a peer takes that many intervals to report to all.
+        turns = max(1, math.ceil(near / NEAR_MAX))
+        silent_after_s = SILENT_AFTER_S + (turns - 1) * LIFE_INTERVAL_S
         return [
             peer.report
             for peer in self.peers.values()
-            if now - peer.heard_at <= SILENT_AFTER_S
+            if now - peer.heard_at <= silent_after_s
         ]
 
-    def list_recipients(self, sequence: int) -> list[tuple[str, int]]:
-        """Return whom to send a report to; large fleets take turns."""
+    def list_recipients(
+        self, sequence: int, whole_zone: bool = False
+    ) -> list[tuple[str, int]]:
+        """Return whom to send a report to; large fleets take turns.
+
+        Balancers start their turns at their own rank in their zone, so that in no
+        interval many of them report to the same peer.
+        """
         if len(self.addresses) <= EVERYONE_MAX:
             return list(self.addresses)
-        zones: dict[str, list[tuple[str, int]]] = {}
+        zones: dict[str, list[tuple[str, int]]] = {self.zone: []}
         known = set()
+        rank = 0
         for peer in self.peers.values():
             zones.setdefault(peer.report.zone, []).append(peer.report.address)
             known.add(peer.report.address)
+            rank += peer.report.zone == self.zone and peer.report.name < self.name
         chosen = [address for address in self.addresses if address not in known]
         for zone, addresses in zones.items():
             most = NEAR_MAX if zone == self.zone else FAR_PER_ZONE
+            if whole_zone and zone == self.zone:
+                most = len(addresses)
+            if not addresses:
+                continue
             addresses.sort()
-            start = (sequence * most) % len(addresses)
+            start = (sequence * most + rank) % len(addresses)
             chosen += (addresses[start:] + addresses[:start])[:most]
         return chosen
 
--- /dev/null
+++ b/src/pistachioshed/core/reportpacer.py
@@ -0,0 +1,83 @@
+"""When a balancer tells its peers of itself: within a byte budget, news at once."""
+
+import math
+import typing
+
+from pistachioshed.core import budget, peertable
+
+# The users' plan allows a VM 9 KB/s for all control traffic; the rest is for state
+# and health checks.
+BYTES_PER_S: typing.Final = 8_000.0
+BURST_BYTES: typing.Final = 4_000.0  # Half a second of the budget.
+DATAGRAM_HEADER_BYTES: typing.Final = 28  # IPv4 and UDP.
+# Several upstreams that fall silent together are one piece of news.
+NEWS_INTERVAL_S: typing.Final = 0.01
+# Loads change with each request; half of the users' shortest mean job.
+LOADS_INTERVAL_S: typing.Final = 0.02
+# What a report holds beside loads changes seldom, and is told at once if it is news.
+REPORT_INTERVAL_S: typing.Final = 1.0
+# Without budget a report waits, but a restarted peer is known again after that time.
+REPORT_LATEST_S: typing.Final = 2.0
+
+Kind = typing.Literal["news", "report", "loads"]
+"""A report to the whole zone, a report, or the loads only."""
+
+
+class News(typing.NamedTuple):
+    """What peers act on at once when it changes.
+
+    `newest` holds the revision of the last change of upstreams and the version of the
+    configuration if this balancer follows the store; others learn of them later.
+    """
+
+    suspected: frozenset[int]
+    lost: bool
+    leaving: bool
+    newest: tuple[int, int]
+
+
+NO_NEWS: typing.Final = News(frozenset(), False, False, (0, 0))
+
+
+class ReportPacer:
+    """Decides what is due; news and signs of life may run up a debt of bytes."""
+
+    def __init__(self) -> None:
+        self.bucket = budget.TokenBucket(BYTES_PER_S, BURST_BYTES)
+        self.sent_at = -math.inf
+        self.reported_at = -math.inf
+        self.news = NO_NEWS
+        self.loads: peertable.Loads = ()
+
+    def choose(self, news: News, loads: peertable.Loads, now: float) -> Kind | None:
+        """Return what to send now, None if nothing is due."""
+        self.bucket.refill(now)
+        waited_s = now - self.sent_at
+        if news != self.news and waited_s >= NEWS_INTERVAL_S:
+            return "news"
+        is_due = waited_s >= peertable.LIFE_INTERVAL_S
+        if loads != self.loads and self.bucket.tokens >= 0:
+            is_due = is_due or waited_s >= LOADS_INTERVAL_S
+        if not is_due:
+            return None
+        has_budget = self.bucket.tokens >= 0
+        interval_s = REPORT_INTERVAL_S if has_budget else REPORT_LATEST_S
+        return "report" if now - self.reported_at >= interval_s else "loads"
+
+    def note_sent(
+        self,
+        kind: Kind,
+        news: News,
+        loads: peertable.Loads,
+        sent_bytes: int,
+        recipients: int,
+        now: float,
+    ) -> None:
+        """Take datagrams of a size to some recipients out of the budget."""
+        self.sent_at = now
+        self.loads = loads
+        self.bucket.spend((sent_bytes + DATAGRAM_HEADER_BYTES) * recipients)
+        self.bucket.tokens = max(self.bucket.tokens, -BURST_BYTES)
+        if kind != "loads":
+            self.reported_at = now
+            self.news = news
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -372,6 +372,7 @@
             packet = forwarderfleet.encode_packet(forwarderfleet.build_opening(40001))
             caller.send(packet, first.settings.packets)
             await forwarderfleet.wait_until(lambda: first.unserved == ["booking"])
+            first.metrics.load_library()
             probes = first.metrics.collectors["probes_total"]
             await forwarderfleet.wait_until(
                 lambda: probes.get({"outcome": "failed"}) >= 3
