Compare load policies of token binding in virtual time

An experiment tool for balancers without flow state: real dispatchers and reports, routers with rotation, callers that repeat and retry, hosts with slots and a queue. What a balancer tells its peers moves from the forwarder's process into the core, so that the experiment and the process share it.

--- a/src/pistachioshed/adapters/reporting.py
+++ b/src/pistachioshed/adapters/reporting.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pistachioshed.core import peertable
+from pistachioshed.core import announcing, peertable
 
 REPORT_MAX_BYTES: typing.Final = 8_192
 REPORTS_PER_TURN: typing.Final = 64
@@ -16,16 +16,14 @@
 FULL: typing.Final = b"r"
 LOADS_ONLY: typing.Final = b"l"
 
-Message = peertable.Report | peertable.LoadReport
 
-
-def encode_report(report: Message) -> bytes:
+def encode_report(report: announcing.Message) -> bytes:
     """Return the datagram of a report."""
     kind = FULL if isinstance(report, peertable.Report) else LOADS_ONLY
     return kind + msgspec.msgpack.encode(report)
 
 
-def decode_report(data: bytes) -> Message:
+def decode_report(data: bytes) -> announcing.Message:
     """Read a datagram.
 
     Raises
@@ -46,7 +44,7 @@
     def __init__(
         self,
         address: tuple[str, int],
-        deliver: abc.Callable[[Message, tuple[str, int]], None],
+        deliver: abc.Callable[[announcing.Message, tuple[str, int]], None],
         count: abc.Callable[..., None],
     ) -> None:
         self.deliver = deliver
@@ -73,7 +71,9 @@
                 continue
             self.deliver(report, address)
 
-    def send(self, report: Message, addresses: abc.Iterable[tuple[str, int]]) -> int:
+    def send(
+        self, report: announcing.Message, addresses: abc.Iterable[tuple[str, int]]
+    ) -> int:
         """Send a report to all addresses and return its size in bytes.
 
         A lost one is made good by the next.
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -18,6 +18,7 @@
 )
 from pistachioshed.apps import forwarderoptions, statesync
 from pistachioshed.core import (
+    announcing,
     directory,
     dispatch,
     peertable,
@@ -31,7 +32,6 @@
 TICK_S: typing.Final = 0.02
 # Otherwise; half of the pause after which the dispatcher takes this process as stopped.
 IDLE_TICK_S: typing.Final = 0.05
-PEERS_PASSED_ON: typing.Final = 3  # Under 60 bytes of each report.
 PROBE_TIMEOUT_S: typing.Final = 0.4  # Below the interval of probes.
 PROBE_CONNECT_S: typing.Final = 0.15  # Over ten round trips to another zone.
 # The fabric takes a balancer out after 2 misses, 0.5 s apart.
@@ -61,9 +61,6 @@
         self.metrics = metrics.Metrics("pistachioshed_forwarder")
         self.serving = servingstate.ServingState()
         self.clock = time.monotonic
-        self.start_ms = time.time_ns() // 1_000_000
-        self.sequence = 0
-        self.pacer = reportpacer.ReportPacer()
         self.stop_requested_at = 0.0
         self.unserved: list[str] = []
         self.stopped = asyncio.Event()
@@ -77,6 +74,17 @@
         self.dispatcher = dispatch.Dispatcher(
             settings.zone, self.peers, self.record, self.observe, os.getpid()
         )
+        self.announcer = announcing.Announcer(
+            announcing.Identity(
+                settings.name,
+                settings.zone,
+                settings.peers,
+                time.time_ns() // 1_000_000,
+                settings.capacity,
+            ),
+            self.dispatcher,
+            reportpacer.ReportPacer(),
+        )
         self.plane = forwarding.PacketPlane(
             settings.packets,
             self.dispatcher,
@@ -235,49 +243,18 @@
 
     def report(self, now: float) -> None:
         """Tell the peers what is due."""
-        dispatcher = self.dispatcher
-        loads = dispatcher.monitor.list_outstanding()
-        newest = (dispatcher.directory.changed, dispatcher.configuration.version)
-        news = reportpacer.News(
-            dispatcher.monitor.list_suspected(),
+        status = announcing.Status(
+            bool(self.sync.watching),
             self.sync.is_lost(now),
             self.serving.state == "leaving",
-            newest if self.sync.watching else (0, 0),
-        )
-        kind = self.pacer.choose(news, loads, now)
-        if kind is None:
-            return
-        self.sequence += 1
-        recipients = self.peers.list_recipients(self.sequence, kind == "news")
-        message: reporting.Message = peertable.LoadReport(self.sequence, loads)
-        if kind != "loads":
-            message = self.build_report(news, now)
-        sent_bytes = self.reports.send(message, recipients)
-        self.pacer.note_sent(kind, news, loads, sent_bytes, len(recipients), now)
-
-    def build_report(self, news: reportpacer.News, now: float) -> peertable.Report:
-        """Return what peers should know of this balancer."""
-        known = [peer.address for peer in self.peers.list_live(now)]
-        start = self.sequence % max(1, len(known))
-        return peertable.Report(
-            self.settings.name,
-            self.settings.zone,
-            self.settings.peers,
-            self.start_ms,
-            self.sequence,
-            bool(self.sync.watching),
-            news.lost,
-            news.leaving,
-            self.settings.capacity,
-            self.dispatcher.directory.changed,
-            self.dispatcher.configuration.version,
-            self.dispatcher.monitor.list_loads(),
-            # Each report passes on a few peers, so that all learn of all.
-            tuple(known[start : start + PEERS_PASSED_ON]),
         )
+        announcement = self.announcer.announce(status, now)
+        if announcement is not None:
+            size = self.reports.send(announcement.message, announcement.recipients)
+            self.announcer.note_sent(announcement, size, now)
 
     def receive_report(
-        self, message: reporting.Message, address: tuple[str, int]
+        self, message: announcing.Message, address: tuple[str, int]
     ) -> None:
         """Take what a peer tells of itself."""
         now = self.clock()
--- a/src/pistachioshed/apps/lab.py
+++ b/src/pistachioshed/apps/lab.py
@@ -13,6 +13,7 @@
     policies,
     report,
     scenarios,
+    tokenruns,
 )
 
 app = typer.Typer(add_completion=False, help=__doc__)
@@ -95,6 +96,31 @@
         raise typer.Exit(1)
 
 
+@app.command("tokens")
+def run_tokens(
+    pattern: typing.Annotated[
+        list[str] | None,
+        typer.Option(help="Repeatable; one of " + ", ".join(tokenruns.PATTERNS)),
+    ] = None,
+    policy: typing.Annotated[
+        list[str] | None,
+        typer.Option(help="Repeatable; one of " + ", ".join(tokenruns.POLICIES)),
+    ] = None,
+    seeds: typing.Annotated[int, typer.Option(help="Runs per row")] = 3,
+    first_seed: typing.Annotated[int, typer.Option(help="The first seed")] = 1,
+) -> None:
+    """Compare policies of balancers without flow state, medians over the seeds."""
+    _find_choice(tokenruns.PATTERNS, pattern, "--pattern")
+    _find_choice(tokenruns.POLICIES, policy, "--policy")
+    rows = [
+        tokenruns.run_seeds(name, chosen, range(first_seed, first_seed + seeds))
+        for name in pattern or tokenruns.PATTERNS
+        for chosen in policy or tokenruns.POLICIES
+    ]
+    typer.echo(f"Seeds {first_seed} to {first_seed + seeds - 1}\n")
+    typer.echo(tokenruns.format_outcomes(rows))
+
+
 T = typing.TypeVar("T")
 
 
--- a/src/pistachioshed/core/chooser.py
+++ b/src/pistachioshed/core/chooser.py
@@ -1,5 +1,6 @@
 """Assesses the upstreams of a route and chooses one for a new flow."""
 
+import math
 import random
 import typing
 from collections import abc
@@ -33,6 +34,8 @@
         What was learned about each upstream.
     seed : int
         Makes the random part of the choices repeatable.
+
+    `select` chooses among the assessed candidates; experiments replace it.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self.peers = peers
         self.monitor = health
         self.draw = random.Random(seed)
+        self.select: selection.Select = selection.choose_upstream
         self.latency_s: dict[str, float] = {}
 
     def choose(
@@ -64,14 +68,14 @@
         if service is None:
             return segments.Refuse("route without weights")
         limits = configuration.services.get(service)
-        candidates = []
-        for upstream in self.directory.list_service(service):
-            if upstream.draining:
-                continue
-            candidate = self._assess(upstream, tried, now)
-            if limits is None or candidate.outstanding < limits.connections:
-                candidates.append(candidate)
-        chosen = selection.choose_upstream(candidates, self.zone, self.draw)
+        most = math.inf if limits is None else limits.connections
+        candidates = [
+            candidate
+            for upstream in self.directory.list_service(service)
+            if not upstream.draining
+            and (candidate := self._assess(upstream, tried, now)).outstanding < most
+        ]
+        chosen = self.select(candidates, self.zone, self.draw)
         if chosen is None:
             return segments.Refuse(f"no upstream of {service}")
         wait_s = selection.estimate_cost(chosen, self.zone) * self.latency_s.get(
@@ -85,17 +89,19 @@
         self, upstream: directory.Upstream, tried: abc.Sequence[str], now: float
     ) -> selection.Candidate:
         health = self.monitor.find(upstream)
+        is_suspected = self.monitor.holds_suspected(upstream, health)
+        doubts = (
+            tried.count(upstream.name) if tried else 0,
+            is_suspected and not health.may_try(now),
+            upstream.zone in self.monitor.partitioned_zones,
+            upstream.name in self.directory.lapsed_at,
+        )
         return selection.Candidate(
             upstream,
             health.outstanding + self.peers.count_outstanding(upstream.token),
             health.slowness,
             self.directory.is_cold(upstream, now),
-            selection.Tier(
-                tried.count(upstream.name),
-                self.monitor.is_suspected(upstream) and not health.may_try(now),
-                upstream.zone in self.monitor.partitioned_zones,
-                upstream.name in self.directory.lapsed_at,
-            ),
+            selection.Tier(*doubts) if any(doubts) else selection.NO_DOUBT,
         )
 
     def learn_latency(
--- a/src/pistachioshed/core/monitor.py
+++ b/src/pistachioshed/core/monitor.py
@@ -135,7 +135,12 @@
 
         What this balancer has heard of the upstream since outweighs its peers.
         """
-        health = self.find(upstream)
+        return self.holds_suspected(upstream, self.find(upstream))
+
+    def holds_suspected(
+        self, upstream: directory.Upstream, health: passivehealth.PassiveHealth
+    ) -> bool:
+        """Do the same as `is_suspected` with what `find` has returned."""
         if health.suspected_at is not None:
             return True
         since = self.peers.find_suspicion(upstream.token)
--- a/src/pistachioshed/core/selection.py
+++ b/src/pistachioshed/core/selection.py
@@ -30,6 +30,9 @@
     lapsed: bool
 
 
+NO_DOUBT: typing.Final = Tier(0, silent=False, zone_silent=False, lapsed=False)
+
+
 class Candidate(typing.NamedTuple):
     """An upstream that may take a new flow, with what is known of its load.
 
@@ -44,27 +47,32 @@
     tier: Tier
 
 
+Select = abc.Callable[[abc.Sequence[Candidate], str, random.Random], Candidate | None]
+"""Chooses for a balancer of a zone; None if there is no candidate."""
+
+
 def estimate_cost(candidate: Candidate, zone: str) -> float:
     """Return the expected latency of one more request, in typical latencies."""
     slots = max(1, candidate.upstream.slots)
-    slowness = candidate.slowness * (COLD_FACTOR if candidate.cold else 1.0)
-    ahead = max(0, candidate.outstanding + 1 - slots)
-    cost = slowness * (1.0 + ahead / slots)
-    cost += BUSY_SLOT_COST * slowness * min(candidate.outstanding, slots - 1) / slots
+    outstanding = candidate.outstanding
+    cost = candidate.slowness * (COLD_FACTOR if candidate.cold else 1.0)
+    if outstanding:
+        ahead = max(0, outstanding + 1 - slots)
+        busy = min(outstanding, slots - 1)
+        cost *= 1.0 + (ahead + BUSY_SLOT_COST * busy) / slots
     if candidate.upstream.zone != zone:
         cost += OTHER_ZONE_COST
     return cost
 
 
 def choose_upstream(
-    candidates: abc.Iterable[Candidate], zone: str, draw: random.Random
+    candidates: abc.Sequence[Candidate], zone: str, draw: random.Random
 ) -> Candidate | None:
     """Return the candidate with the least doubt, and of those the least cost."""
     best: Candidate | None = None
-    best_rank: tuple[Tier, float] | None = None
+    best_cost = 0.0
     for candidate in candidates:
         cost = estimate_cost(candidate, zone) * (1.0 + JITTER * draw.random())
-        rank = (candidate.tier, cost)
-        if best_rank is None or rank < best_rank:
-            best, best_rank = candidate, rank
+        if best is None or (candidate.tier, cost) < (best.tier, best_cost):
+            best, best_cost = candidate, cost
     return best
--- a/src/pistachioshed/lab/hosts.py
+++ b/src/pistachioshed/lab/hosts.py
@@ -20,7 +20,8 @@
     """One upstream: accepts connections, runs requests in its slots, answers once.
 
     A request that arrives again on its connection, a retransmission, is not run
-    again; its answer is sent again if it is known.
+    again; its answer is sent again if it is known. `queue_limit` is how many requests
+    may wait for a slot, None for any number.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         self.done: dict[str, bool] = {}
         self.busy_s = 0.0
         self.epoch = 0
+        self.queue_limit: int | None = None
 
     def open_connection(self, flow: str, path: typing.Any) -> bool:
         """Accept a connection and tell whether it is known afterwards."""
@@ -66,16 +68,22 @@
         """Forget a connection."""
         self.connections.pop(flow, None)
 
-    def receive_request(self, request: Request) -> None:
-        """Run a request when a slot is free; its connection must be known."""
+    def receive_request(self, request: Request) -> bool:
+        """Run a request when a slot is free; return whether it was accepted.
+
+        Its connection must be known.
+        """
         self.connections[request.flow] = request.path
         known = self.done.get(request.request)
         if known is None:
+            if self.queue_limit is not None and len(self.waiting) >= self.queue_limit:
+                return False
             self.done[request.request] = False
             self.waiting.append(request)
             self._fill_slots()
         elif known:
             self.answer(request)
+        return True
 
     def restart(self) -> None:
         """Lose every connection and request."""
--- /dev/null
+++ b/src/pistachioshed/lab/tokenfleet.py
@@ -0,0 +1,459 @@
+"""Balancers without flow state in virtual time: routers, callers, hosts and reports.
+
+Each balancer is a real `dispatch.Dispatcher` with its peers and reports. Callers open a
+flow for each request, as the users' do. Left out are the store, configuration changes,
+lost packets and the bytes of responses.
+"""
+
+import itertools
+import random
+import typing
+import zlib
+from collections import abc
+
+from pistachioshed.core import (
+    announcing,
+    directory,
+    dispatch,
+    peertable,
+    reportpacer,
+    routing,
+    segments,
+    selection,
+)
+from pistachioshed.lab import fleet, hosts
+
+TARGET: typing.Final = (0xC6120001, 443)
+SERVICE: typing.Final = "booking"
+# One way, seconds; the users' sheets.
+CALLER_DELAY_S: typing.Final = 0.001
+ZONE_DELAY_S: typing.Final = 0.0001
+OTHER_ZONE_DELAY_S: typing.Final = 0.0009
+# The users' callers repeat an opening twice, and give an attempt up.
+OPENING_COPIES_S: typing.Final = (0.2, 0.6)
+ATTEMPT_S: typing.Final = 1.4
+DATA_REPEAT_S: typing.Final = 0.2
+DATA_REPEAT_MAX_S: typing.Final = 1.6
+RETRIES: typing.Final = 2
+# The fabric takes a balancer out after two health checks, each 0.5 s.
+ROTATION_OUT_S: typing.Final = 1.0
+TICK_S: typing.Final = 0.05
+WAITING_TICK_S: typing.Final = 0.02
+# Bytes of an encoded message: without loads, for each load.
+LOADS_BYTES: typing.Final = (6, 7)
+REPORT_BYTES: typing.Final = (100, 8)
+
+
+class Site(typing.NamedTuple):
+    """A deployment: times in seconds, rates a second over all zones.
+
+    `speeds` are given to the hosts in turn.
+    """
+
+    zones: tuple[str, ...]
+    balancers: int
+    hosts: int
+    slots: int
+    queue: int
+    speeds: tuple[float, ...]
+    work_s: float
+    rate: float
+    target_latency_s: float
+    deadline_s: float
+
+
+BOOKING: typing.Final = Site(
+    ("riga-a", "riga-b", "riga-c"), 8, 14, 2, 8, (0.7, 0.7, 1.7), 0.032, 375, 0.15, 1.5
+)
+
+
+class Policy(typing.NamedTuple):
+    """How balancers choose, and whether and when they tell of their loads."""
+
+    select: selection.Select
+    make_pacer: abc.Callable[[], reportpacer.ReportPacer]
+
+
+class Balancer:
+    """One balancer; `epoch` counts its starts, so that ticks of an earlier one end."""
+
+    def __init__(self, name: str, zone: str, number: int) -> None:
+        self.name = name
+        self.zone = zone
+        self.number = number
+        self.address = (f"10.1.0.{number}", 7720)
+        self.up = False
+        self.down_at = 0.0
+        self.epoch = 0
+        self.dispatcher: dispatch.Dispatcher
+        self.announcer: announcing.Announcer
+
+
+class Request(typing.NamedTuple):
+    """A request of a caller, over all its attempts."""
+
+    number: int
+    zone: str
+    started_s: float
+    work_s: float
+
+
+class Result(typing.NamedTuple):
+    """How a request ended; `latency_s` counts from its first attempt."""
+
+    request: Request
+    outcome: typing.Literal["served", "failed"]
+    latency_s: float
+
+
+class TokenFleet:
+    """Balancers, hosts and callers of one site.
+
+    `results` holds the requests that ended, `shed` counts requests that met a full
+    host, and `sent_bytes` what balancers told each other.
+    """
+
+    def __init__(self, site: Site, policy: Policy, seed: int) -> None:
+        self.site = site
+        self.policy = policy
+        self.clock = fleet.Clock()
+        self.draw = random.Random(seed)
+        self.rate_factor = 1.0
+        self.results: list[Result] = []
+        self.shed = 0
+        self.sent_bytes = 0
+        self.numbers = itertools.count(1)
+        self.ports = itertools.count(1_024)
+        self.attempts: dict[str, Attempt] = {}
+        self.upstreams = [self._build_upstream(n) for n in range(1, site.hosts + 1)]
+        self.hosts = {
+            upstream.token: self._build_host(
+                upstream, site.speeds[n % len(site.speeds)]
+            )
+            for n, upstream in enumerate(self.upstreams)
+        }
+        zones = site.zones
+        self.balancers = [
+            Balancer(f"front-{n}", zones[n % len(zones)], n)
+            for n in range(site.balancers)
+        ]
+        for balancer in self.balancers:
+            self.start_balancer(balancer)
+
+    def start_balancer(self, balancer: Balancer) -> None:
+        """Start a balancer that knows the upstreams and nothing else."""
+        now = self.clock.now
+        seeds = [other.address for other in self.balancers if other is not balancer]
+        peers = peertable.PeerTable(balancer.name, balancer.zone, seeds)
+        balancer.epoch += 1
+        seed = balancer.number * 1_000 + balancer.epoch
+        dispatcher = dispatch.Dispatcher(
+            balancer.zone, peers, _ignore_event, _ignore_latency, seed
+        )
+        dispatcher.chooser.select = self.policy.select
+        dispatcher.configure(self._build_configuration(), now)
+        changes = [directory.Change(each.name, each, 1) for each in self.upstreams]
+        dispatcher.update_directory(changes, 1, True, now)
+        identity = announcing.Identity(
+            balancer.name, balancer.zone, balancer.address, int(now * 1000), 1.0
+        )
+        balancer.dispatcher = dispatcher
+        balancer.announcer = announcing.Announcer(
+            identity, dispatcher, self.policy.make_pacer()
+        )
+        balancer.up = True
+        self._tick(balancer, balancer.epoch)
+
+    def kill_balancer(self, balancer: Balancer, down_s: float) -> None:
+        """End a balancer at once; it starts anew after a time."""
+        balancer.up = False
+        balancer.down_at = self.clock.now
+        balancer.epoch += 1
+        self.clock.schedule(down_s, lambda: self.start_balancer(balancer))
+
+    def start_load(self, end_s: float) -> None:
+        """Send requests at random times of a Poisson process until a time."""
+        if self.clock.now >= end_s:
+            return
+        request = Request(
+            next(self.numbers),
+            self.draw.choice(self.site.zones),
+            self.clock.now,
+            self.draw.lognormvariate(0.0, 0.5) * self.site.work_s,
+        )
+        Attempt(self, request, RETRIES).start()
+        wait_s = self.draw.expovariate(self.site.rate * self.rate_factor)
+        self.clock.schedule(wait_s, lambda: self.start_load(end_s))
+
+    def send(self, zone: str, segment: segments.Segment, attempt: "Attempt") -> None:
+        """Send a caller's packet to the balancer that the routers choose."""
+        balancer = self._route(zone, segment)
+        self.clock.schedule(
+            CALLER_DELAY_S, lambda: self._receive(balancer, segment, attempt)
+        )
+
+    def answer(self, request: hosts.Request) -> None:
+        """Deliver the response of a host to its caller."""
+        attempt: Attempt = request.path
+        self.clock.schedule(CALLER_DELAY_S, attempt.finish)
+
+    def _route(self, zone: str, segment: segments.Segment) -> Balancer:
+        now = self.clock.now
+
+        def rank(balancer: Balancer) -> tuple[bool, bool, int]:
+            is_out = not balancer.up and now - balancer.down_at > ROTATION_OUT_S
+            weight = zlib.crc32(f"{balancer.name}{segment.caller}".encode())
+            return is_out, balancer.zone != zone, weight
+
+        return min(self.balancers, key=rank)
+
+    def _receive(
+        self, balancer: Balancer, segment: segments.Segment, attempt: "Attempt"
+    ) -> None:
+        if not balancer.up:
+            return
+        now = self.clock.now
+        action = balancer.dispatcher.handle(segment, b"", now)
+        self._carry_out(balancer, action, segment, attempt)
+
+    def _carry_out(
+        self,
+        balancer: Balancer,
+        action: segments.Action,
+        segment: segments.Segment,
+        attempt: "Attempt",
+    ) -> None:
+        if isinstance(action, segments.Refuse):
+            self.clock.schedule(CALLER_DELAY_S, attempt.reset)
+        elif isinstance(action, segments.Forward):
+            upstream = action.upstream
+            delay_s = _find_delay(balancer.zone, upstream.zone)
+            self.clock.schedule(
+                delay_s, lambda: self._arrive(upstream, segment, attempt)
+            )
+
+    def _arrive(
+        self,
+        upstream: directory.Upstream,
+        segment: segments.Segment,
+        attempt: "Attempt",
+    ) -> None:
+        host = self.hosts[upstream.token]
+        if not host.up:
+            return
+        if segment.opening:
+            host.open_connection(attempt.name, attempt)
+            self.clock.schedule(CALLER_DELAY_S, lambda: attempt.open(upstream.token))
+        elif segment.length and not segment.closing:
+            work = hosts.Request(
+                attempt.name, attempt.name, attempt.request.work_s, attempt
+            )
+            if not host.receive_request(work):
+                self.shed += 1
+                self.clock.schedule(CALLER_DELAY_S, attempt.reset)
+
+    def _tick(self, balancer: Balancer, epoch: int) -> None:
+        if not balancer.up or balancer.epoch != epoch:
+            return
+        now = self.clock.now
+        dispatcher = balancer.dispatcher
+        for upstream in dispatcher.tick(now):
+            passed = self.hosts[upstream.token].up
+            outcome: segments.ProbeOutcome = "passed" if passed else "silent"
+            dispatcher.record_probe(upstream, outcome, "experiment", now)
+        orders, dispatcher.orders = dispatcher.orders, []
+        for order in orders:
+            attempt = self.attempts.get(_name_flow(order.segment))
+            if attempt is not None:
+                self._carry_out(balancer, order.action, order.segment, attempt)
+        self._announce(balancer, now)
+        wait_s = WAITING_TICK_S if dispatcher.book.pending else TICK_S
+        self.clock.schedule(wait_s, lambda: self._tick(balancer, epoch))
+
+    def _announce(self, balancer: Balancer, now: float) -> None:
+        status = announcing.Status(False, False, False)
+        announcement = balancer.announcer.announce(status, now)
+        if announcement is None:
+            return
+        message = announcement.message
+        fixed, each = REPORT_BYTES
+        if isinstance(message, peertable.LoadReport):
+            fixed, each = LOADS_BYTES
+        size = fixed + each * len(message.loads)
+        balancer.announcer.note_sent(announcement, size, now)
+        datagram = size + reportpacer.DATAGRAM_HEADER_BYTES
+        self.sent_bytes += datagram * len(announcement.recipients)
+        for peer in self.balancers:
+            if peer.address in announcement.recipients:
+                delay_s = _find_delay(balancer.zone, peer.zone)
+                self.clock.schedule(
+                    delay_s, self._make_delivery(peer, balancer.address, message)
+                )
+
+    def _make_delivery(
+        self, peer: Balancer, sender: tuple[str, int], message: announcing.Message
+    ) -> fleet.Task:
+        def deliver() -> None:
+            if not peer.up:
+                return
+            if isinstance(message, peertable.LoadReport):
+                peer.dispatcher.peers.record_loads(sender, message, self.clock.now)
+            else:
+                peer.dispatcher.monitor.hear_peer(message, self.clock.now)
+
+        return deliver
+
+    def _build_upstream(self, number: int) -> directory.Upstream:
+        zone = self.site.zones[number % len(self.site.zones)]
+        address = (f"10.2.0.{number}", 8080)
+        return directory.Upstream(
+            f"i-{number:08x}",
+            number,
+            number,
+            SERVICE,
+            address,
+            zone,
+            self.site.slots,
+            False,
+            0.0,
+            1,
+        )
+
+    def _build_host(self, upstream: directory.Upstream, speed: float) -> hosts.Host:
+        host = hosts.Host(
+            SERVICE,
+            upstream.name,
+            upstream.zone,
+            self.site.slots,
+            # `speeds` of the users' sheets are factors of the time a request takes.
+            1 / speed,
+            self.clock.schedule,
+            self.answer,
+            _ignore_event,
+        )
+        host.queue_limit = self.site.queue
+        return host
+
+    def _build_configuration(self) -> routing.Configuration:
+        route = routing.Route(
+            "check",
+            TARGET,
+            (routing.Share(SERVICE, 1.0),),
+            "safe",
+            self.site.deadline_s,
+            self.site.target_latency_s,
+            1,
+        )
+        limits = routing.ServiceLimits("/health", 2_000)
+        return routing.Configuration(1, {TARGET: route}, {SERVICE: limits}, 15.0)
+
+
+class Attempt:
+    """One flow of a caller for one request."""
+
+    def __init__(self, owner: TokenFleet, request: Request, retries: int) -> None:
+        self.fleet = owner
+        self.request = request
+        self.retries = retries
+        self.started_s = owner.clock.now
+        self.ended = False
+        self.token = 0
+        port = next(owner.ports)
+        self.segment = segments.Segment(
+            caller=(0x64400000 + port // 60_000, 1_024 + port % 60_000),
+            target=TARGET,
+            sequence=1_000,
+            acknowledged=0,
+            copy=0,
+            token=0,
+            length=0,
+            opening=True,
+            closing=False,
+            reset=False,
+        )
+        self.name = _name_flow(self.segment)
+
+    def start(self) -> None:
+        """Send the opening, and plan its copies and the end of the attempt."""
+        clock = self.fleet.clock
+        self.fleet.attempts[self.name] = self
+        self._send_opening(0)
+        for copy, delay_s in enumerate(OPENING_COPIES_S, 1):
+            clock.schedule(delay_s, lambda number=copy: self._send_opening(number))  # type: ignore[misc]
+        clock.schedule(ATTEMPT_S, self._give_up_opening)
+        left_s = self.request.started_s + self.fleet.site.deadline_s - clock.now
+        clock.schedule(max(0.0, left_s), self._fail)
+
+    def open(self, token: int) -> None:
+        """Take the first acceptance and send the request."""
+        if not self.token and not self.ended:
+            self.token = token
+            self._send_request(DATA_REPEAT_S)
+
+    def finish(self) -> None:
+        """Take the response."""
+        if self.ended:
+            return
+        self._send(sequence=1_101, acknowledged=1_500, length=0, closing=True)
+        self._end("served")
+
+    def reset(self) -> None:
+        """Try again at once on a new flow, if there is time and a try left."""
+        if self.ended:
+            return
+        if self.retries == 0:
+            self._end("failed")
+            return
+        self.ended = True
+        self.fleet.attempts.pop(self.name, None)
+        Attempt(self.fleet, self.request, self.retries - 1).start()
+
+    def _send_opening(self, copy: int) -> None:
+        if not self.token and not self.ended:
+            packet = self.segment._replace(copy=copy)
+            self.fleet.send(self.request.zone, packet, self)
+
+    def _send_request(self, repeat_s: float) -> None:
+        if self.ended:
+            return
+        self._send(sequence=1_001, acknowledged=500, length=100)
+        host = self.fleet.hosts[self.token]
+        if host.up and self.name in host.done:
+            # The host has acknowledged it.
+            return
+        wait_s = min(2 * repeat_s, DATA_REPEAT_MAX_S)
+        self.fleet.clock.schedule(repeat_s, lambda: self._send_request(wait_s))
+
+    def _send(self, **changes: typing.Any) -> None:
+        packet = self.segment._replace(opening=False, token=self.token, **changes)
+        self.fleet.send(self.request.zone, packet, self)
+
+    def _give_up_opening(self) -> None:
+        if not self.token:
+            self.reset()
+
+    def _fail(self) -> None:
+        if not self.ended:
+            self._end("failed")
+
+    def _end(self, outcome: typing.Literal["served", "failed"]) -> None:
+        self.ended = True
+        self.fleet.attempts.pop(self.name, None)
+        latency_s = self.fleet.clock.now - self.request.started_s
+        self.fleet.results.append(Result(self.request, outcome, latency_s))
+
+
+def _name_flow(segment: segments.Segment) -> str:
+    return ":".join(map(str, segment.caller))
+
+
+def _find_delay(one: str, other: str) -> float:
+    return ZONE_DELAY_S if one == other else OTHER_ZONE_DELAY_S
+
+
+def _ignore_event(*details: typing.Any, **fields: typing.Any) -> None:
+    """Take what experiments do not look at."""
+
+
+def _ignore_latency(route: str, latency_s: float) -> None:
+    """Take a latency that the callers measure themselves."""
