Place flows by a balancer's own loads; report suspicions and life only

Cause: loads told to peers are older than the requests that they count.

The connection limit of an upstream is shared between the known balancers, as its connections are no longer counted by all.

--- a/src/pistachioshed/adapters/reporting.py
+++ b/src/pistachioshed/adapters/reporting.py
@@ -14,12 +14,12 @@
 
 # The first byte of a datagram; msgpack follows.
 FULL: typing.Final = b"r"
-LOADS_ONLY: typing.Final = b"l"
+LIFE_SIGN: typing.Final = b"l"
 
 
 def encode_report(report: announcing.Message) -> bytes:
     """Return the datagram of a report."""
-    kind = FULL if isinstance(report, peertable.Report) else LOADS_ONLY
+    kind = FULL if isinstance(report, peertable.Report) else LIFE_SIGN
     return kind + msgspec.msgpack.encode(report)
 
 
@@ -33,9 +33,9 @@
     """
     if data[:1] == FULL:
         return msgspec.msgpack.decode(data[1:], type=peertable.Report)
-    if data[:1] == LOADS_ONLY:
-        return msgspec.msgpack.decode(data[1:], type=peertable.LoadReport)
-    raise msgspec.DecodeError("neither a report nor loads")
+    if data[:1] == LIFE_SIGN:
+        return msgspec.msgpack.decode(data[1:], type=peertable.LifeSign)
+    raise msgspec.DecodeError("neither a report nor a sign of life")
 
 
 class ReportSocket:
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -258,8 +258,8 @@
     ) -> None:
         """Take what a peer tells of itself."""
         now = self.clock()
-        if isinstance(message, peertable.LoadReport):
-            self.peers.record_loads(address, message, now)
+        if isinstance(message, peertable.LifeSign):
+            self.peers.record_life(address, message, now)
             return
         if message.name not in self.peers.peers and message.name != self.settings.name:
             jsonlog.log_event("peer found", peer=message.name, peer_zone=message.zone)
--- a/src/pistachioshed/core/announcing.py
+++ b/src/pistachioshed/core/announcing.py
@@ -6,7 +6,7 @@
 
 PEERS_PASSED_ON: typing.Final = 3  # Under 60 bytes of each report.
 
-Message = peertable.Report | peertable.LoadReport
+Message = peertable.Report | peertable.LifeSign
 
 
 class Identity(typing.NamedTuple):
@@ -40,7 +40,6 @@
 
     kind: reportpacer.Kind
     news: reportpacer.News
-    loads: peertable.Loads
     message: Message
     recipients: list[tuple[str, int]]
 
@@ -53,7 +52,7 @@
     identity : Identity
         This balancer.
     dispatcher : Dispatcher
-        Its loads, suspicions and versions.
+        Its suspicions and versions.
     pacer : ReportPacer
         Decides what is due.
     """
@@ -74,29 +73,27 @@
         """Return what is due."""
         known = self.dispatcher.directory
         newest = (known.changed, self.dispatcher.configuration.version)
-        loads = self.dispatcher.monitor.list_outstanding()
         news = reportpacer.News(
             self.dispatcher.monitor.list_suspected(),
             status.lost,
             status.leaving,
             newest if status.watches else (0, 0),
         )
-        kind = self.pacer.choose(news, loads, now)
+        kind = self.pacer.choose(news, now)
         if kind is None:
             return None
         self.sequence += 1
         recipients = self.peers.list_recipients(self.sequence, kind == "news")
-        message: Message = peertable.LoadReport(self.sequence, loads)
-        if kind != "loads":
+        message: Message = peertable.LifeSign(self.sequence)
+        if kind != "life":
             message = self._build_report(status, newest, now)
-        return Announcement(kind, news, loads, message, recipients)
+        return Announcement(kind, news, message, recipients)
 
     def note_sent(self, announcement: Announcement, size: int, now: float) -> None:
         """Take a message of a size in bytes out of the budget."""
         self.pacer.note_sent(
             announcement.kind,
             announcement.news,
-            announcement.loads,
             size,
             len(announcement.recipients),
             now,
@@ -119,7 +116,7 @@
             status.leaving,
             identity.capacity,
             *newest,
-            self.dispatcher.monitor.list_loads(),
+            self.dispatcher.monitor.list_suspected(),
             # Each report passes on a few peers, so that all learn of all.
             tuple(known[start : start + PEERS_PASSED_ON]),
         )
--- a/src/pistachioshed/core/chooser.py
+++ b/src/pistachioshed/core/chooser.py
@@ -20,7 +20,7 @@
 
 
 class Chooser:
-    """Knows loads, health and the typical latency of each route.
+    """Knows own loads, health and the typical latency of each route.
 
     Parameters
     ----------
@@ -29,7 +29,7 @@
     known : Directory
         The registered upstreams.
     peers : PeerTable
-        Loads of the other balancers.
+        The other balancers, with which the limits of upstreams are shared.
     health : HealthMonitor
         What was learned about each upstream.
     seed : int
@@ -68,7 +68,9 @@
         if service is None:
             return segments.Refuse("route without weights")
         limits = configuration.services.get(service)
-        most = math.inf if limits is None else limits.connections
+        # Each balancer may use its share of an upstream's connections.
+        sharers = 1 + len(self.peers.peers)
+        most = math.inf if limits is None else max(1, limits.connections // sharers)
         candidates = [
             candidate
             for upstream in self.directory.list_service(service)
@@ -98,7 +100,7 @@
         )
         return selection.Candidate(
             upstream,
-            health.outstanding + self.peers.count_outstanding(upstream.token),
+            health.outstanding,
             health.slowness,
             self.directory.is_cold(upstream, now),
             selection.Tier(*doubts) if any(doubts) else selection.NO_DOUBT,
@@ -115,8 +117,7 @@
         gained_s = LATENCY_GAIN * (latency_s - typical_s)
         self.latency_s[route.name] = typical_s + gained_s
         health = self.monitor.find(upstream)
-        others = self.peers.count_outstanding(upstream.token)
-        if health.outstanding + others < upstream.slots:
+        if health.outstanding < upstream.slots:
             # With more in progress the latency is that of the queue.
             health.record_latency(latency_s / max(typical_s, LATENCY_MIN_S))
 
--- a/src/pistachioshed/core/monitor.py
+++ b/src/pistachioshed/core/monitor.py
@@ -56,29 +56,6 @@
             health = self.health[incarnation] = passivehealth.PassiveHealth()
         return health
 
-    def list_loads(self) -> tuple[peertable.UpstreamLoad, ...]:
-        """Return this balancer's own outstanding requests and suspicions."""
-        loads = []
-        for incarnation, health in self.health.items():
-            upstream = self._find_current(incarnation)
-            suspected = health.suspected_at is not None
-            if upstream is not None and (health.outstanding or suspected):
-                loads.append(
-                    peertable.UpstreamLoad(
-                        upstream.token, health.outstanding, suspected
-                    )
-                )
-        return tuple(loads)
-
-    def list_outstanding(self) -> peertable.Loads:
-        """Return this balancer's own outstanding requests at each upstream."""
-        return tuple(
-            (upstream.token, health.outstanding)
-            for incarnation, health in self.health.items()
-            if health.outstanding
-            and (upstream := self._find_current(incarnation)) is not None
-        )
-
     def list_suspected(self) -> frozenset[int]:
         """Return the tokens of the upstreams that this balancer itself suspects."""
         return frozenset(
@@ -164,9 +141,9 @@
         if not self.peers.record(report, now):
             return False
         self._record_suspicions(before, report.name)
-        for entry in report.loads:
-            upstream = self.directory.by_token.get(entry.token)
-            if not entry.suspected or upstream is None:
+        for token in report.suspected:
+            upstream = self.directory.by_token.get(token)
+            if upstream is None:
                 continue
             health = self.find(upstream)
             is_due = now - health.probe_requested_at > PROBE_INTERVAL_S
--- a/src/pistachioshed/core/peertable.py
+++ b/src/pistachioshed/core/peertable.py
@@ -22,14 +22,6 @@
 WATCHERS_ALONE: typing.Final = 2
 
 
-class UpstreamLoad(typing.NamedTuple):
-    """A balancer's outstanding requests at an upstream; `suspected` if it is silent."""
-
-    token: int
-    outstanding: int
-    suspected: bool
-
-
 class Report(typing.NamedTuple):
     """What a balancer tells its peers of itself.
 
@@ -37,6 +29,7 @@
     `watches` tells whether it follows the store itself, `lost` whether the store has
     lately not answered it; `capacity` is that of its link
     in Mbit/s. `upstreams_changed` is the revision of the last change that it knows.
+    `suspected` holds the tokens of the upstreams that are silent to it.
     """
 
     name: str
@@ -50,22 +43,17 @@
     capacity: float
     upstreams_changed: int
     configuration_version: int
-    loads: tuple[UpstreamLoad, ...]
+    suspected: frozenset[int]
     peers: tuple[tuple[str, int], ...]
 
 
-Loads = tuple[tuple[int, int], ...]
-"""Token of an upstream, and a balancer's outstanding requests there."""
-
-
-class LoadReport(typing.NamedTuple):
-    """What changes with each request; the sender is known by its address.
+class LifeSign(typing.NamedTuple):
+    """Shows that a balancer lives, which is known by its address.
 
     `sequence` goes on with that of the sender's reports.
     """
 
     sequence: int
-    loads: Loads
 
 
 class Suspicion(typing.NamedTuple):
@@ -86,7 +74,7 @@
 
 
 class PeerTable:
-    """Peers by name, the sum of their loads, and the zones that answer.
+    """Peers by name, the upstreams that they suspect, and the zones that answer.
 
     `addresses` holds where reports are sent, also before the first one is received.
     `seeds` are never forgotten, so that the sides of a long partition find each other.
@@ -106,7 +94,6 @@
         self.addresses = set(self.seeds)
         self.peers: dict[str, Peer] = {}
         self.names: dict[tuple[str, int], str] = {}
-        self.loads: dict[int, int] = {}
         self.suspicions: dict[int, Suspicion] = {}
 
     def add_seeds(self, seeds: abc.Iterable[tuple[str, int]]) -> None:
@@ -124,48 +111,38 @@
             if (known.start_ms, known.sequence) >= (report.start_ms, report.sequence):
                 return False
             # Adding first keeps the start of a suspicion that the peer repeats.
-            self._add_loads(report, 1, now)
-            self._add_loads(known, -1, now)
+            self._add_suspicions(report, 1, now)
+            self._add_suspicions(known, -1, now)
             peer.report = report
             peer.heard_at = now
         else:
             if len(self.peers) >= PEERS_MAX:
                 return False
             self.peers[report.name] = Peer(report, now)
-            self._add_loads(report, 1, now)
+            self._add_suspicions(report, 1, now)
         self.names[report.address] = report.name
         for address in (report.address, *report.peers):
             if len(self.addresses) < PEERS_MAX:
                 self.addresses.add(address)
         return True
 
-    def record_loads(
-        self, address: tuple[str, int], news: LoadReport, now: float
-    ) -> bool:
-        """Take the loads of a known peer; return False if they are old.
-
-        The upstreams that it suspects are those of its last report.
-        """
+    def record_life(self, address: tuple[str, int], sign: LifeSign, now: float) -> bool:
+        """Take a sign of life of a known peer; return False if it is an old one."""
         peer = self.peers.get(self.names.get(address, ""))
-        if peer is None or news.sequence <= peer.report.sequence:
+        if peer is None or sign.sequence <= peer.report.sequence:
             return False
-        loads = dict(news.loads)
-        suspected = {entry.token for entry in peer.report.loads if entry.suspected}
-        entries = tuple(
-            UpstreamLoad(token, loads.get(token, 0), token in suspected)
-            for token in loads.keys() | suspected
-        )
-        report = peer.report._replace(sequence=news.sequence, loads=entries)
-        return self.record(report, now)
+        peer.report = peer.report._replace(sequence=sign.sequence)
+        peer.heard_at = now
+        return True
 
     def expire(self, now: float) -> list[str]:
-        """Drop the loads of peers that fell silent; return the peers forgotten."""
+        """Drop the suspicions of peers that fell silent; return the peers forgotten."""
         forgotten = []
         for name, peer in list(self.peers.items()):
             silent_s = now - peer.heard_at
-            if silent_s > SILENT_AFTER_S and peer.report.loads:
-                self._add_loads(peer.report, -1, now)
-                peer.report = peer.report._replace(loads=())
+            if silent_s > SILENT_AFTER_S and peer.report.suspected:
+                self._add_suspicions(peer.report, -1, now)
+                peer.report = peer.report._replace(suspected=frozenset())
             if silent_s > FORGET_AFTER_S:
                 del self.peers[name]
                 self.names.pop(peer.report.address, None)
@@ -174,10 +151,6 @@
                     self.addresses.discard(peer.report.address)
         return forgotten
 
-    def count_outstanding(self, token: int) -> int:
-        """Return the peers' outstanding requests at an upstream."""
-        return self.loads.get(token, 0)
-
     def find_suspicion(self, token: int) -> float | None:
         """Return since when a live peer of the zone has suspected an upstream."""
         known = self.suspicions.get(token)
@@ -271,19 +244,13 @@
             if zone != self.zone and now - heard_at > SILENT_AFTER_S
         }
 
-    def _add_loads(self, report: Report, sign: int, now: float) -> None:
-        """Add what a report says to the sums, or take it out of them."""
-        for entry in report.loads:
-            total = self.loads.get(entry.token, 0) + sign * entry.outstanding
-            if total > 0:
-                self.loads[entry.token] = total
+    def _add_suspicions(self, report: Report, sign: int, now: float) -> None:
+        """Add what a report of a peer of the zone says, or take it out again."""
+        if report.zone != self.zone:
+            return
+        for token in report.suspected:
+            known = self.suspicions.get(token, Suspicion(0, now))
+            if known.peers + sign > 0:
+                self.suspicions[token] = known._replace(peers=known.peers + sign)
             else:
-                self.loads.pop(entry.token, None)
-            if entry.suspected and report.zone == self.zone:
-                known = self.suspicions.get(entry.token, Suspicion(0, now))
-                if known.peers + sign > 0:
-                    self.suspicions[entry.token] = known._replace(
-                        peers=known.peers + sign
-                    )
-                else:
-                    del self.suspicions[entry.token]
+                del self.suspicions[token]
--- a/src/pistachioshed/core/reportpacer.py
+++ b/src/pistachioshed/core/reportpacer.py
@@ -12,15 +12,13 @@
 DATAGRAM_HEADER_BYTES: typing.Final = 28  # IPv4 and UDP.
 # Several upstreams that fall silent together are one piece of news.
 NEWS_INTERVAL_S: typing.Final = 0.01
-# Loads change with each request; half of the users' shortest mean job.
-LOADS_INTERVAL_S: typing.Final = 0.02
-# What a report holds beside loads changes seldom, and is told at once if it is news.
+# What a report holds changes seldom, and is told at once if it is news.
 REPORT_INTERVAL_S: typing.Final = 1.0
 # Without budget a report waits, but a restarted peer is known again after that time.
 REPORT_LATEST_S: typing.Final = 2.0
 
-Kind = typing.Literal["news", "report", "loads"]
-"""A report to the whole zone, a report, or the loads only."""
+Kind = typing.Literal["news", "report", "life"]
+"""A report to the whole zone, a report, or a sign of life."""
 
 
 class News(typing.NamedTuple):
@@ -47,37 +45,26 @@
         self.sent_at = -math.inf
         self.reported_at = -math.inf
         self.news = NO_NEWS
-        self.loads: peertable.Loads = ()
 
-    def choose(self, news: News, loads: peertable.Loads, now: float) -> Kind | None:
+    def choose(self, news: News, now: float) -> Kind | None:
         """Return what to send now, None if nothing is due."""
         self.bucket.refill(now)
         waited_s = now - self.sent_at
         if news != self.news and waited_s >= NEWS_INTERVAL_S:
             return "news"
-        is_due = waited_s >= peertable.LIFE_INTERVAL_S
-        if loads != self.loads and self.bucket.tokens >= 0:
-            is_due = is_due or waited_s >= LOADS_INTERVAL_S
-        if not is_due:
+        if waited_s < peertable.LIFE_INTERVAL_S:
             return None
         has_budget = self.bucket.tokens >= 0
         interval_s = REPORT_INTERVAL_S if has_budget else REPORT_LATEST_S
-        return "report" if now - self.reported_at >= interval_s else "loads"
+        return "report" if now - self.reported_at >= interval_s else "life"
 
     def note_sent(
-        self,
-        kind: Kind,
-        news: News,
-        loads: peertable.Loads,
-        sent_bytes: int,
-        recipients: int,
-        now: float,
+        self, kind: Kind, news: News, size: int, recipients: int, now: float
     ) -> None:
         """Take datagrams of a size to some recipients out of the budget."""
         self.sent_at = now
-        self.loads = loads
-        self.bucket.spend((sent_bytes + DATAGRAM_HEADER_BYTES) * recipients)
+        self.bucket.spend((size + DATAGRAM_HEADER_BYTES) * recipients)
         self.bucket.tokens = max(self.bucket.tokens, -BURST_BYTES)
-        if kind != "loads":
+        if kind != "life":
             self.reported_at = now
             self.news = news
--- a/src/pistachioshed/core/selection.py
+++ b/src/pistachioshed/core/selection.py
@@ -9,7 +9,7 @@
 # Shares of a request's typical latency. A request in another zone is worth two hops
 # of about 1 ms; less than a fifth of the shortest job of the users' tables.
 OTHER_ZONE_COST: typing.Final = 0.1
-# Reports of peers are some ms old: balancers must not agree on one "best" upstream.
+# Balancers with the same view must not agree on one "best" upstream.
 JITTER: typing.Final = 0.1
 # The users' tables: an upstream that has just started takes 1.6 times as long.
 COLD_FACTOR: typing.Final = 1.6
@@ -36,8 +36,8 @@
 class Candidate(typing.NamedTuple):
     """An upstream that may take a new flow, with what is known of its load.
 
-    `outstanding` is the sum over all balancers; `slowness` the ratio of its latency to
-    the typical one of its service.
+    `outstanding` counts the requests of this balancer; `slowness` is the ratio of its
+    latency to the typical one of its service.
     """
 
     upstream: directory.Upstream
