--- a/src/pistachioshed/lab/tokenfleet.py
+++ b/src/pistachioshed/lab/tokenfleet.py
@@ -20,20 +20,13 @@
     segments,
     selection,
 )
-from pistachioshed.lab import fleet, hosts
+from pistachioshed.lab import fleet, hosts, tokencallers
 
-TARGET: typing.Final = (0xC6120001, 443)
 SERVICE: typing.Final = "booking"
 # One way, seconds; the users' sheets.
 CALLER_DELAY_S: typing.Final = 0.001
 ZONE_DELAY_S: typing.Final = 0.0001
 OTHER_ZONE_DELAY_S: typing.Final = 0.0009
-# The users' callers repeat an opening twice, and give an attempt up.
-OPENING_COPIES_S: typing.Final = (0.2, 0.6)
-ATTEMPT_S: typing.Final = 1.4
-DATA_REPEAT_S: typing.Final = 0.2
-DATA_REPEAT_MAX_S: typing.Final = 1.6
-RETRIES: typing.Final = 2
 # The fabric takes a balancer out after two health checks, each 0.5 s.
 ROTATION_OUT_S: typing.Final = 1.0
 TICK_S: typing.Final = 0.05
@@ -81,23 +74,6 @@
         self.announcer: announcing.Announcer
 
 
-class Request(typing.NamedTuple):
-    """A request of a caller, over all its attempts."""
-
-    number: int
-    zone: str
-    started_s: float
-    work_s: float
-
-
-class Result(typing.NamedTuple):
-    """How a request ended; `latency_s` counts from its first attempt."""
-
-    request: Request
-    outcome: typing.Literal["served", "failed"]
-    latency_s: float
-
-
 class TokenFleet:
     """Balancers, hosts and callers of one site; `select` is the balancers' policy.
 
@@ -111,12 +87,12 @@
         self.clock = fleet.Clock()
         self.draw = random.Random(seed)
         self.rate_factor = 1.0
-        self.results: list[Result] = []
+        self.results: list[tokencallers.Result] = []
         self.shed = 0
         self.sent_bytes = 0
         self.numbers = itertools.count(1)
         self.ports = itertools.count(1_024)
-        self.attempts: dict[str, Attempt] = {}
+        self.attempts: dict[str, tokencallers.Attempt] = {}
         self.upstreams = [self._build_upstream(n) for n in range(1, site.hosts + 1)]
         self.hosts = {
             upstream.token: self._build_host(
@@ -167,26 +143,33 @@
         """Send requests at random times of a Poisson process until a time."""
         if self.clock.now >= end_s:
             return
-        request = Request(
+        request = tokencallers.Request(
             next(self.numbers),
             self.draw.choice(self.site.zones),
             self.clock.now,
             self.draw.lognormvariate(0.0, 0.5) * self.site.work_s,
         )
-        Attempt(self, request, RETRIES).start()
+        tokencallers.Attempt(self, request, tokencallers.RETRIES).start()
         wait_s = self.draw.expovariate(self.site.rate * self.rate_factor)
         self.clock.schedule(wait_s, lambda: self.start_load(end_s))
 
-    def send(self, zone: str, segment: segments.Segment, attempt: "Attempt") -> None:
+    def send(
+        self, zone: str, segment: segments.Segment, attempt: tokencallers.Attempt
+    ) -> None:
         """Send a caller's packet to the balancer that the routers choose."""
         balancer = self._route(zone, segment)
         self.clock.schedule(
             CALLER_DELAY_S, lambda: self._receive(balancer, segment, attempt)
         )
 
+    def has_acknowledged(self, token: int, flow: str) -> bool:
+        """Tell whether a host has the request of a flow."""
+        host = self.hosts[token]
+        return host.up and flow in host.done
+
     def answer(self, request: hosts.Request) -> None:
         """Deliver the response of a host to its caller."""
-        attempt: Attempt = request.path
+        attempt: tokencallers.Attempt = request.path
         self.clock.schedule(CALLER_DELAY_S, attempt.finish)
 
     def _route(self, zone: str, segment: segments.Segment) -> Balancer:
@@ -200,7 +183,10 @@
         return min(self.balancers, key=rank)
 
     def _receive(
-        self, balancer: Balancer, segment: segments.Segment, attempt: "Attempt"
+        self,
+        balancer: Balancer,
+        segment: segments.Segment,
+        attempt: tokencallers.Attempt,
     ) -> None:
         if not balancer.up:
             return
@@ -213,7 +199,7 @@
         balancer: Balancer,
         action: segments.Action,
         segment: segments.Segment,
-        attempt: "Attempt",
+        attempt: tokencallers.Attempt,
     ) -> None:
         if isinstance(action, segments.Refuse):
             self.clock.schedule(CALLER_DELAY_S, attempt.reset)
@@ -228,7 +214,7 @@
         self,
         upstream: directory.Upstream,
         segment: segments.Segment,
-        attempt: "Attempt",
+        attempt: tokencallers.Attempt,
     ) -> None:
         host = self.hosts[upstream.token]
         if not host.up:
@@ -255,7 +241,7 @@
             dispatcher.record_probe(upstream, outcome, "experiment", now)
         orders, dispatcher.orders = dispatcher.orders, []
         for order in orders:
-            attempt = self.attempts.get(_name_flow(order.segment))
+            attempt = self.attempts.get(tokencallers.name_flow(order.segment))
             if attempt is not None:
                 self._carry_out(balancer, order.action, order.segment, attempt)
         self._announce(balancer, now)
@@ -327,7 +313,7 @@
     def _build_configuration(self) -> routing.Configuration:
         route = routing.Route(
             "check",
-            TARGET,
+            tokencallers.TARGET,
             (routing.Share(SERVICE, 1.0),),
             "safe",
             self.site.deadline_s,
@@ -335,106 +321,9 @@
             1,
         )
         limits = routing.ServiceLimits("/health", 2_000)
-        return routing.Configuration(1, {TARGET: route}, {SERVICE: limits}, 15.0)
-
-
-class Attempt:
-    """One flow of a caller for one request."""
-
-    def __init__(self, owner: TokenFleet, request: Request, retries: int) -> None:
-        self.fleet = owner
-        self.request = request
-        self.retries = retries
-        self.started_s = owner.clock.now
-        self.ended = False
-        self.token = 0
-        port = next(owner.ports)
-        self.segment = segments.Segment(
-            caller=(0x64400000 + port // 60_000, 1_024 + port % 60_000),
-            target=TARGET,
-            sequence=1_000,
-            acknowledged=0,
-            copy=0,
-            token=0,
-            length=0,
-            opening=True,
-            closing=False,
-            reset=False,
+        return routing.Configuration(
+            1, {tokencallers.TARGET: route}, {SERVICE: limits}, 15.0
         )
-        self.name = _name_flow(self.segment)
-
-    def start(self) -> None:
-        """Send the opening, and plan its copies and the end of the attempt."""
-        clock = self.fleet.clock
-        self.fleet.attempts[self.name] = self
-        self._send_opening(0)
-        for copy, delay_s in enumerate(OPENING_COPIES_S, 1):
-            clock.schedule(delay_s, lambda number=copy: self._send_opening(number))  # type: ignore[misc]
-        clock.schedule(ATTEMPT_S, self._give_up_opening)
-        left_s = self.request.started_s + self.fleet.site.deadline_s - clock.now
-        clock.schedule(max(0.0, left_s), self._fail)
-
-    def open(self, token: int) -> None:
-        """Take the first acceptance and send the request."""
-        if not self.token and not self.ended:
-            self.token = token
-            self._send_request(DATA_REPEAT_S)
-
-    def finish(self) -> None:
-        """Take the response."""
-        if self.ended:
-            return
-        self._send(sequence=1_101, acknowledged=1_500, length=0, closing=True)
-        self._end("served")
-
-    def reset(self) -> None:
-        """Try again at once on a new flow, if there is time and a try left."""
-        if self.ended:
-            return
-        if self.retries == 0:
-            self._end("failed")
-            return
-        self.ended = True
-        self.fleet.attempts.pop(self.name, None)
-        Attempt(self.fleet, self.request, self.retries - 1).start()
-
-    def _send_opening(self, copy: int) -> None:
-        if not self.token and not self.ended:
-            packet = self.segment._replace(copy=copy)
-            self.fleet.send(self.request.zone, packet, self)
-
-    def _send_request(self, repeat_s: float) -> None:
-        if self.ended:
-            return
-        self._send(sequence=1_001, acknowledged=500, length=100)
-        host = self.fleet.hosts[self.token]
-        if host.up and self.name in host.done:
-            # The host has acknowledged it.
-            return
-        wait_s = min(2 * repeat_s, DATA_REPEAT_MAX_S)
-        self.fleet.clock.schedule(repeat_s, lambda: self._send_request(wait_s))
-
-    def _send(self, **changes: typing.Any) -> None:
-        packet = self.segment._replace(opening=False, token=self.token, **changes)
-        self.fleet.send(self.request.zone, packet, self)
-
-    def _give_up_opening(self) -> None:
-        if not self.token:
-            self.reset()
-
-    def _fail(self) -> None:
-        if not self.ended:
-            self._end("failed")
-
-    def _end(self, outcome: typing.Literal["served", "failed"]) -> None:
-        self.ended = True
-        self.fleet.attempts.pop(self.name, None)
-        latency_s = self.fleet.clock.now - self.request.started_s
-        self.fleet.results.append(Result(self.request, outcome, latency_s))
-
-
-def _name_flow(segment: segments.Segment) -> str:
-    return ":".join(map(str, segment.caller))
 
 
 def _find_delay(one: str, other: str) -> float:
--- /dev/null
+++ b/tests/test_tokenruns.py
@@ -0,0 +1,56 @@
+"""Load patterns that a policy of placement answers, in virtual time."""
+
+import pytest
+import typer.testing
+
+from pistachioshed.apps import lab
+from pistachioshed.lab import tokenfleet, tokenruns
+
+# The users' targets: the worst two seconds at 0.90, and one request in a thousand not
+# served.
+WORST_WINDOW = 0.90
+FAILED = 0.001
+
+
+@pytest.mark.parametrize("pattern", ["calm", "burst", "stragglers", "silent hosts"])
+def test_requests_are_served_in_time_under_load(pattern: str) -> None:
+    """Guard against placement that lets requests queue while hosts are idle.
+
+    The patterns: steady load; 1.7 times the load for three seconds; a fifth of the
+    hosts five times slower; a fifth of the hosts silent during a burst.
+    """
+    outcome = tokenruns.run_pattern(pattern, "core", 1)
+    assert outcome.worst_window >= WORST_WINDOW
+    assert outcome.failed <= FAILED
+
+
+@pytest.mark.parametrize("pattern", ["recovery", "stragglers"])
+def test_knowledge_of_loads_and_speeds_pays(pattern: str) -> None:
+    """Guard against a policy that is no better than a random choice."""
+    core = tokenruns.run_pattern(pattern, "core", 2)
+    blind = tokenruns.run_pattern(pattern, "random", 2)
+    assert core.in_time > blind.in_time
+    assert core.shed < blind.shed
+
+
+def test_control_traffic_of_a_large_fleet_is_bounded() -> None:
+    """Guard against reports that grow with the square of the fleet."""
+    site = tokenfleet.BOOKING._replace(balancers=80, hosts=60)
+    outcome = tokenruns.run_pattern("silent hosts", "core", 1, site)
+    assert outcome.control_bytes <= 9_000
+
+
+def test_runs_repeat_with_their_seed() -> None:
+    """Guard against measures that can not be reproduced."""
+    first = tokenruns.run_pattern("herd", "core", 3)
+    assert tokenruns.run_pattern("herd", "core", 3) == first
+
+
+def test_the_command_prints_a_row_per_pattern_and_policy() -> None:
+    """Guard against a command line that no longer fits the experiments."""
+    runner = typer.testing.CliRunner()
+    arguments = ["tokens", "--pattern", "calm", "--policy", "random", "--seeds", "1"]
+    done = runner.invoke(lab.app, arguments)
+    assert done.exit_code == 0
+    assert "| calm | random |" in done.stdout
+    assert runner.invoke(lab.app, ["tokens", "--policy", "no such"]).exit_code == 2
