Start the forwarder without automat; keep log lines whole

The four states of a forwarder are a table now; automat stays in the programs on larger machines.

A log line that a pipe took in part no longer joins the next one. The line of the start tells the processor time that it took.

--- a/src/pistachioshed/adapters/jsonlog.py
+++ b/src/pistachioshed/adapters/jsonlog.py
@@ -44,6 +44,7 @@
         self.filled_at = time.monotonic()
         self.dropped = 0
         self.unreported = 0
+        self.needs_newline = False
 
     def write(self, text: str) -> int:
         """Write a line, or count it as dropped."""
@@ -56,6 +57,8 @@
         self.tokens -= 1
         if self.unreported:
             text = f'{{"event": "lines dropped", "count": {self.unreported}}}\n' + text
+        if self.needs_newline:
+            text = "\n" + text
         data = text.encode()
         try:
             written = os.write(self.descriptor, data)
@@ -63,8 +66,11 @@
             # A full or closed pipe; the count is shown by the metrics.
             return self._drop(text)
         self.unreported = 0
+        self.needs_newline = False
         if written < len(data):
+            # The reader sees a broken line and goes on with the next one.
             self.dropped += 1
+            self.needs_newline = True
         return len(text)
 
     def flush(self) -> None:
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -59,7 +59,7 @@
         self.log_stream = log_stream
         self.path = path
         self.metrics = metrics.Metrics("pistachioshed_forwarder")
-        self.serving = servingstate.ServingState()
+        self.serving: servingstate.State = "starting"
         self.clock = time.monotonic
         self.stop_requested_at = 0.0
         self.unserved: list[str] = []
@@ -137,7 +137,11 @@
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
         loop.call_later(START_GRACE_S, self.open_plane)
-        jsonlog.log_event("started", settings=self.settings._asdict())
+        jsonlog.log_event(
+            "started",
+            settings=self.settings._asdict(),
+            cpu_s=round(time.process_time(), 3),
+        )
         self.sync.start_watching()
         self.start_task(self.poll_settings())
         self.start_task(self.sync.keep_role())
@@ -178,9 +182,9 @@
         """Start to serve once configuration and upstreams are known."""
         self.plane.carry_out_orders()
         if self.dispatcher.configuration.version and self.dispatcher.directory.revision:
-            before = self.serving.state
-            self.serving.signals.note_state()
-            if self.serving.state != before:
+            before = self.serving
+            self.serving = servingstate.follow(before, "state known")
+            if self.serving != before:
                 jsonlog.log_event("serving")
                 self.open_plane()
 
@@ -190,7 +194,7 @@
 
     async def answer_ready(self, request: http1.Request) -> http1.Response:
         """Tell the fabric whether this balancer takes flows."""
-        ready = self.serving.state == "serving" and not self.unserved
+        ready = self.serving == "serving" and not self.unserved
         return http1.Response(200 if ready else 503, {}, b"")
 
     async def answer_metrics(self, request: http1.Request) -> http1.Response:
@@ -216,7 +220,7 @@
             await asyncio.sleep(TICK_S if is_waiting else IDLE_TICK_S)
             # Read by ticks, as a wake-up costs more than a report.
             self.reports.receive()
-            if self.serving.state != "starting":
+            if self.serving != "starting":
                 # Packets that waited while this process did not run go first.
                 self.plane.receive()
             try:
@@ -238,7 +242,7 @@
             self.unserved = unserved
             jsonlog.log_event("unserved services", services=unserved)
         self.report(now)
-        if self.serving.state == "leaving":
+        if self.serving == "leaving":
             self.check_stop(now)
 
     def report(self, now: float) -> None:
@@ -246,7 +250,7 @@
         status = announcing.Status(
             bool(self.sync.watching),
             self.sync.is_lost(now),
-            self.serving.state == "leaving",
+            self.serving == "leaving",
         )
         announcement = self.announcer.announce(status, now)
         if announcement is not None:
@@ -289,10 +293,10 @@
 
     def request_stop(self) -> None:
         """Leave the rotation; packets are forwarded until they no longer arrive."""
-        if self.serving.state in ("leaving", "stopped"):
+        if self.serving in ("leaving", "stopped"):
             return
         self.stop_requested_at = self.clock()
-        self.serving.signals.request_stop()
+        self.serving = servingstate.follow(self.serving, "stop requested")
         jsonlog.log_event("stop requested", stop_s=self.settings.stop_s)
 
     def check_stop(self, now: float) -> None:
@@ -300,7 +304,7 @@
         waited_s = now - self.stop_requested_at
         quiet = waited_s > ROTATION_S and now - self.plane.received_at > QUIET_S
         if quiet or waited_s > self.settings.stop_s - STOP_MARGIN_S:
-            self.serving.signals.finish()
+            self.serving = servingstate.follow(self.serving, "finished")
             self.stopped.set()
 
     async def poll_settings(self) -> None:
--- a/tests/forwarderfleet.py
+++ b/tests/forwarderfleet.py
@@ -151,7 +151,7 @@
     async def start_serving(self, number: int) -> forwarder.Forwarder:
         """Start a forwarder and wait until it serves."""
         started = await self.start_forwarder(number)
-        await wait_until(lambda: started.serving.state == "serving")
+        await wait_until(lambda: started.serving == "serving")
         return started
 
     def open_inbox(self, ip: str, port: int = 0) -> Inbox:
--- a/tests/test_boundedlog.py
+++ b/tests/test_boundedlog.py
@@ -37,3 +37,20 @@
     assert json.loads(rest[-1]) == {"text": "after"}
     os.close(reader)
     os.close(writer)
+
+
+def test_a_line_that_a_pipe_took_in_part_does_not_spoil_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a broken line that swallows the one after it."""
+    reader, writer = os.pipe()
+    stream = jsonlog.BoundedStream(writer)
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda to, data: write(to, data[:5]))
+    stream.write('{"text": "first"}\n')
+    monkeypatch.undo()
+    stream.write('{"text": "second"}\n')
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        assert json.loads(lines.readlines()[-1]) == {"text": "second"}
+    assert stream.dropped == 1
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -86,7 +86,7 @@
             response = await forwarderfleet.get(address, "/api/ready")
             assert response.status == 503
             fleet.store.failure = "none"
-            await forwarderfleet.wait_until(lambda: first.serving.state == "serving")
+            await forwarderfleet.wait_until(lambda: first.serving == "serving")
             response = await forwarderfleet.get(address, "/api/ready")
             assert response.status == 200
             first.request_stop()
@@ -109,7 +109,7 @@
             forwarders = [await fleet.start_forwarder(number) for number in (1, 2, 3)]
             third = forwarders[2]
             await forwarderfleet.wait_until(
-                lambda: third.serving.state == "serving" and not third.sync.watching
+                lambda: third.serving == "serving" and not third.sync.watching
             )
             fleet.register("i-00000001", ("127.0.0.50", 9), state="draining")
             fleet.configure(2, "sheets")
@@ -140,7 +140,7 @@
             await fleet.start_serving(1)
             fleet.store.failure = "silent"
             second = await fleet.start_forwarder(2)
-            await forwarderfleet.wait_until(lambda: second.serving.state == "serving")
+            await forwarderfleet.wait_until(lambda: second.serving == "serving")
             assert list(second.dispatcher.directory.upstreams) == ["i-00000001"]
 
     asyncio.run(scenario())
@@ -189,7 +189,7 @@
             forwarders = [await fleet.start_forwarder(number) for number in (1, 2, 3)]
             third = forwarders[2]
             await forwarderfleet.wait_until(
-                lambda: third.serving.state == "serving" and not third.sync.watching
+                lambda: third.serving == "serving" and not third.sync.watching
             )
             for proxy in proxies:
                 proxy.set_harm("reset")
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -36,7 +36,7 @@
     program = (
         "import sys, pistachioshed.apps.forwarder\n"
         "print([name for name in sys.modules"
-        " if name.partition('.')[0] in ('absl', 'aioprometheus', 'twisted', 'typer')])"
+        " if name in ('absl', 'aioprometheus', 'automat', 'twisted', 'typer')])"
     )
     done = subprocess.run(
         [sys.executable, "-c", program],
