Hold openings while state is being read, and let large reads take their time

A forwarder refused openings 0.3 s after its start if it had no configuration; with 1,091 routes on thin links reading it takes longer, and in the small twin the read also ended after 1 s in all and began anew, so that nobody served for 2.2 s.

A refusal uses up one of a caller's few tries. Openings are now held for 1.4 s, the time of an attempt, unless half of the zone's live forwarders serve; what is older than 0.8 s then has a younger copy and is dropped. HTTP timeouts bound each silence of the peer instead of the whole transfer.

Ruled out: the store (it answered in 0.4 s), the rotation (all machines stayed in). Ages of beliefs that do not exist yet are logged as null.

--- a/src/pistachioshed/adapters/forwarding.py
+++ b/src/pistachioshed/adapters/forwarding.py
@@ -1,10 +1,11 @@
 """The socket on which callers' packets arrive and from which they are sent on."""
 
+import collections
 import socket
 import typing
 from collections import abc
 
-from pistachioshed.core import dispatch, segments
+from pistachioshed.core import admission, dispatch, segments
 
 # A burst of the users' grown tables on one machine, 400 packets of 1.3 kB.
 RECEIVE_BUFFER_BYTES: typing.Final = 1_048_576
@@ -24,7 +25,10 @@
 
 
 class PacketPlane:
-    """Owns the packet socket: reads packets, asks for a decision, carries it out."""
+    """Owns the packet socket: reads packets, asks for a decision, carries it out.
+
+    `held` keeps what arrives before `release`, with the time of its arrival.
+    """
 
     def __init__(
         self,
@@ -40,6 +44,9 @@
         self.count = count
         self.port = address[1]
         self.received_at = clock()
+        self.held: collections.deque[tuple[float, bytes]] | None = collections.deque(
+            maxlen=admission.PACKETS_MAX
+        )
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -59,7 +66,22 @@
                 self.count("receive_errors", reason=error.strerror or "unknown")
                 continue
             self.received_at = now
-            self.handle(data, now)
+            if self.held is None:
+                self.handle(data, now)
+            else:
+                self.held.append((now, data))
+
+    def release(self) -> None:
+        """Handle the packets that were held, and the next ones as they arrive."""
+        if self.held is None:
+            return
+        now = self.clock()
+        held, self.held = self.held, None
+        for arrived_at, data in held:
+            if now - arrived_at <= admission.PACKET_AGE_MAX_S:
+                self.handle(data, now)
+            else:
+                self.count("packets", outcome="outdated")
 
     def handle(self, data: bytes, now: float) -> None:
         """Decide about one packet and send what follows from it."""
--- a/src/pistachioshed/adapters/http1.py
+++ b/src/pistachioshed/adapters/http1.py
@@ -16,6 +16,8 @@
 KEEPALIVE_INTERVAL_S: typing.Final = 1
 KEEPALIVE_PROBES: typing.Final = 2
 USER_TIMEOUT_MS: typing.Final = 2_500
+# The store's largest value, 1 MB in base64, on a link of 1.4 Mbit/s.
+TRANSFER_MAX_S: typing.Final = 8.0
 CONNECT_TIMEOUT_S: typing.Final = 0.5  # Over a hundred round trips inside a region.
 SERVER_IDLE_S: typing.Final = 60.0
 # Connections served at once; the peers of a zone use one each. A third of the
@@ -81,6 +83,9 @@
     ) -> Response:
         """Send a request and return its response; the connection ends on an error.
 
+        The timeout bounds each silence of the peer: a large response on a thin link may
+        take longer, up to `TRANSFER_MAX_S`.
+
         Raises
         ------
         HttpError
@@ -88,10 +93,10 @@
         """
         step = f"{method} {target.partition('?')[0]}"
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 if self.writer is None:
                     await self._connect()
-                return await self._exchange(method, target, body)
+                return await self._exchange(method, target, body, limit, timeout_s)
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             connected = self.writer is not None
             self.close()
@@ -114,7 +119,14 @@
         watch_liveness(self.writer)
         self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
 
-    async def _exchange(self, method: str, target: str, body: bytes) -> Response:
+    async def _exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        limit: asyncio.Timeout,
+        timeout_s: float,
+    ) -> Response:
         assert self.protocol and self.reader and self.writer
         headers = [("Host", self.peer), ("Content-Length", str(len(body)))]
         if body:
@@ -125,7 +137,13 @@
             parts.append(self.protocol.send(h11.Data(data=body)))
         parts.append(self.protocol.send(h11.EndOfMessage()))
         self.writer.write(b"".join(part for part in parts if part))
-        head, content = await receive_message(self.protocol, self.reader)
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + max(timeout_s, TRANSFER_MAX_S)
+
+        def extend() -> None:
+            limit.reschedule(min(loop.time() + timeout_s, latest))
+
+        head, content = await receive_message(self.protocol, self.reader, extend)
         assert isinstance(head, h11.Response)
         fields = {name.decode(): value.decode() for name, value in head.headers}
         if self.protocol.our_state is h11.MUST_CLOSE:
@@ -136,7 +154,9 @@
 
 
 async def receive_message(
-    protocol: h11.Connection, reader: asyncio.StreamReader
+    protocol: h11.Connection,
+    reader: asyncio.StreamReader,
+    note_progress: abc.Callable[[], None] | None = None,
 ) -> tuple[h11.Request | h11.Response | None, bytes]:
     """Return the next head and its whole body; None if the peer has closed.
 
@@ -155,6 +175,8 @@
         elif isinstance(event, h11.Request | h11.Response):
             head = event
         elif isinstance(event, h11.Data):
+            if note_progress is not None:
+                note_progress()
             size += len(event.data)
             if size > BODY_MAX_BYTES:
                 raise h11.RemoteProtocolError(f"a body of over {BODY_MAX_BYTES} bytes")
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -18,6 +18,7 @@
 )
 from pistachioshed.apps import forwarderoptions, statesync
 from pistachioshed.core import (
+    admission,
     announcing,
     directory,
     dispatch,
@@ -38,9 +39,6 @@
 ROTATION_S: typing.Final = 1.3
 QUIET_S: typing.Final = 0.8
 STOP_MARGIN_S: typing.Final = 0.7
-# The store answers in 4 ms; without state after this time openings are refused, so
-# that callers try another balancer.
-START_GRACE_S: typing.Final = 0.3
 SETTINGS_POLL_S: typing.Final = 2.0
 
 Address = tuple[str, int]
@@ -136,7 +134,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
-        loop.call_later(START_GRACE_S, self.open_plane)
+        loop.add_reader(self.plane.sock, self.plane.receive)
         jsonlog.log_event(
             "started",
             settings=self.settings._asdict(),
@@ -186,11 +184,23 @@
             self.serving = servingstate.follow(before, "state known")
             if self.serving != before:
                 jsonlog.log_event("serving")
-                self.open_plane()
+                self.plane.release()
 
-    def open_plane(self) -> None:
-        """Start to read packets; those that came earlier have waited in the socket."""
-        asyncio.get_running_loop().add_reader(self.plane.sock, self.plane.receive)
+    def review_admission(self, now: float) -> None:
+        """Cease to hold packets once their callers do better elsewhere."""
+        near = [
+            peer for peer in self.peers.list_live(now) if peer.zone == self.peers.zone
+        ]
+        serving = sum(peer.configuration_version > 0 for peer in near)
+        waited_s = now - self.sync.started_at
+        if not admission.should_hold(waited_s, serving, len(near)):
+            jsonlog.log_event(
+                "refuses openings",
+                waited_s=round(waited_s, 2),
+                peers=len(near),
+                serving=serving,
+            )
+            self.plane.release()
 
     async def answer_ready(self, request: http1.Request) -> http1.Response:
         """Tell the fabric whether this balancer takes flows."""
@@ -220,9 +230,8 @@
             await asyncio.sleep(TICK_S if is_waiting else IDLE_TICK_S)
             # Read by ticks, as a wake-up costs more than a report.
             self.reports.receive()
-            if self.serving != "starting":
-                # Packets that waited while this process did not run go first.
-                self.plane.receive()
+            # Packets that waited while this process did not run go first.
+            self.plane.receive()
             try:
                 self.tick(self.clock())
             except Exception:
@@ -242,6 +251,8 @@
             self.unserved = unserved
             jsonlog.log_event("unserved services", services=unserved)
         self.report(now)
+        if self.plane.held is not None:
+            self.review_admission(now)
         if self.serving == "leaving":
             self.check_stop(now)
 
--- a/src/pistachioshed/core/dispatch.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -72,8 +72,8 @@
         self.observe = observe
         self.directory = directory.Directory()
         self.configuration = routing.EMPTY_CONFIGURATION
-        self.configured_at = 0.0
-        self.directory_at = 0.0
+        self.configured_at: float | None = None
+        self.directory_at: float | None = None
         self.monitor = monitor.HealthMonitor(zone, self.directory, peers, record)
         self.chooser = chooser.Chooser(zone, self.directory, peers, self.monitor, seed)
         self.book = flowbook.FlowBook(self.monitor)
@@ -380,11 +380,15 @@
             reason=reason,
             copy=segment.copy,
             configuration=self.configuration.version,
-            configuration_age_s=round(self.ticked_at - self.configured_at, 1),
+            configuration_age_s=self._find_age(self.configured_at),
             upstreams=self.directory.revision,
-            upstreams_age_s=round(self.ticked_at - self.directory_at, 1),
+            upstreams_age_s=self._find_age(self.directory_at),
         )
 
+    def _find_age(self, since: float | None) -> float | None:
+        """Return how old a belief is, None if there is none yet."""
+        return None if since is None else round(max(0.0, self.ticked_at - since), 1)
+
     def _record_update(self, update: directory.Update) -> None:
         upstream = self.directory.upstreams.get(update.name)
         self.record(
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -12,6 +12,7 @@
 
 from pistachioshed.adapters import http1
 from pistachioshed.apps import forwarder
+from pistachioshed.core import admission
 from pistachioshed.platform import packets
 from standins import metadatastore
 from tests import forwarderfleet
@@ -72,6 +73,36 @@
     asyncio.run(scenario())
 
 
+def test_openings_wait_for_a_forwarder_that_has_just_started(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against refusals that use up a caller's tries after a restart of all."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            caller = fleet.open_inbox(forwarderfleet.CALLER_IP, fleet.port)
+            host = fleet.open_inbox("127.0.0.50")
+            fleet.register("i-00000001", host.address)
+            fleet.store.failure = "busy"
+            first = await fleet.start_forwarder(1)
+            opening = forwarderfleet.encode_packet(forwarderfleet.build_opening(40001))
+            for _ in range(5):
+                caller.send(opening, first.settings.packets)
+                await asyncio.sleep(admission.GRACE_S / 4)
+            assert len(first.plane.held or ()) == 5
+            fleet.store.failure = "none"
+            while first.plane.held is not None:
+                caller.send(opening, first.settings.packets)
+                await asyncio.sleep(0.05)
+            assert first.serving == "serving"
+            received = await host.receive()
+            assert received[8:16] == opening[:8]
+            with pytest.raises(TimeoutError):
+                await caller.receive(0.1)
+
+    asyncio.run(scenario())
+
+
 def test_a_forwarder_is_ready_only_with_state_and_until_it_stops(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -179,3 +179,38 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("chunks", "arrives"), [(8, True), (2, False)])
+def test_a_response_may_take_long_but_not_fall_silent(
+    chunks: int, arrives: bool
+) -> None:
+    """Guard against a large configuration that a thin link never gets in time.
+
+    `booth-lb-grown`, trouble-3 (ef20dead): reads ended after 1 s in all and began anew.
+    """
+    total = 8
+
+    async def drip(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % total)
+        for _ in range(chunks):
+            writer.write(b"x")
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        await reader.read()
+        writer.close()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(drip, "127.0.0.1", 0)
+        connection = http1.Connection(server.sockets[0].getsockname())
+        if arrives:
+            response = await connection.request("GET", "/", 0.4)
+            assert response.body == b"x" * total
+        else:
+            with pytest.raises(http1.HttpError):
+                await connection.request("GET", "/", 0.4)
+        connection.close()
+        server.close()
+
+    asyncio.run(scenario())
