--- a/src/pistachioshed/core/peertable.py
+++ b/src/pistachioshed/core/peertable.py
@@ -1,4 +1,4 @@
-"""What a balancer knows of its peers: their load on upstreams, and who is reachable."""
+"""What a balancer knows of its peers: who lives, and which upstreams they suspect."""
 
 import math
 import typing
