--- a/src/pistachioshed/core/peertable.py
+++ b/src/pistachioshed/core/peertable.py
@@ -113,6 +113,7 @@
             # Adding first keeps the start of a suspicion that the peer repeats.
             self._add_suspicions(report, 1, now)
             self._add_suspicions(known, -1, now)
+            self.names.pop(known.address, None)
             peer.report = report
             peer.heard_at = now
         else:
--- a/tests/test_peertable.py
+++ b/tests/test_peertable.py
@@ -164,5 +164,11 @@
         named = tuple((f"10.9.{number}.{other}", 7720) for other in range(5))
         report = build.build_report(name, address=("10.1.0.1", number), peers=named)
         peers.record(report, 0.0)
+    for number in range(50):
+        moved = build.build_report(
+            "front-2", sequence=number + 2, address=("10.1.0.2", number)
+        )
+        peers.record(moved, 0.1)
     assert len(peers.peers) == 10
     assert len(peers.addresses) <= 10
+    assert len(peers.names) <= 10
