--- a/src/pistachioshed/adapters/bus.py
+++ b/src/pistachioshed/adapters/bus.py
@@ -14,6 +14,7 @@
 # Publications that may wait to be sent.
 QUEUE_LENGTH: typing.Final = 256
 FETCH_TIMEOUT_S: typing.Final = 1.0
+SOCKET_RETRY_S: typing.Final = 0.1  # Less than the interval between digests.
 # Encoded messages start with these bytes; subscriptions filter by them.
 TOPICS: typing.Final[dict[type, bytes]] = {
     digests.Digest: b"d",
@@ -144,13 +145,31 @@
         self.count("bus_drops", reason="task failed")
         jsonlog.log_failure("bus task", error=repr(task.exception()))
 
+    async def _handle_socket_error(self, step: str, error: pynng.NNGException) -> None:
+        """Log the error of a socket and wait before its task goes on.
+
+        Raises
+        ------
+        NNGException
+            If the socket is closed, so that it can not be used any more.
+        """
+        if self.closed or isinstance(error, pynng.Closed):
+            raise error
+        self.count("bus_drops", reason=f"{step} failed")
+        jsonlog.log_failure("bus task", step=step, error=repr(error))
+        await asyncio.sleep(SOCKET_RETRY_S)
+
     def _encode(self, message: digests.Message) -> bytes:
         return digests.encode_message(message, TOPICS[type(message)], self.key)
 
     async def _send_publications(self) -> None:
         while True:
             payload = await self.outbox.get()
-            await self.publisher.asend(payload)
+            try:
+                await self.publisher.asend(payload)
+            except pynng.NNGException as error:
+                await self._handle_socket_error("publish", error)
+                continue
             receivers = len(self.publisher.pipes)
             self.count("bus_bytes_out", len(payload) * receivers, kind="publish")
 
@@ -197,7 +216,11 @@
     async def _answer_requests(self) -> None:
         topic = TOPICS[digests.FetchRequest]
         while True:
-            payload = await self.replier.arecv()
+            try:
+                payload = await self.replier.arecv()
+            except pynng.NNGException as error:
+                await self._handle_socket_error("receive request", error)
+                continue
             self.count("bus_bytes_in", len(payload), kind="fetch")
             try:
                 request = digests.decode_message(
--- a/src/pistachioshed/core/channel.py
+++ b/src/pistachioshed/core/channel.py
@@ -131,6 +131,8 @@
         for bulk in self.bulks:
             if bulk.service == service:
                 bulk.flows.pop(flow, None)
+        # A bulk with a version stays, since it also reports the version as complete.
+        self.bulks = [bulk for bulk in self.bulks if bulk.flows or bulk.version]
 
     def queue_completion(self, service: str, version: int) -> None:
         """Queue the completion of a table version after all queued overrides."""
--- a/src/pistachioshed/core/receivedoverrides.py
+++ b/src/pistachioshed/core/receivedoverrides.py
@@ -190,6 +190,14 @@
                 if id(binding.source) not in dropped
             }
         self.count = sum(len(flows) for flows in self.received.values())
+        for key, bindings in list(self.shadowed.items()):
+            kept = [
+                binding for binding in bindings if id(binding.source) not in dropped
+            ]
+            if kept:
+                self.shadowed[key] = kept
+            else:
+                del self.shadowed[key]
 
     def _get_source(self, owner: str, session: int, now: float) -> Source | None:
         """Return a session, creating it if it is new; None if it was replaced."""
--- a/src/pistachioshed/core/routing.py
+++ b/src/pistachioshed/core/routing.py
@@ -5,6 +5,7 @@
 import xxhash
 
 RequestKind = typing.Literal["safe", "unsafe", "download"]
+REQUEST_KINDS: typing.Final[tuple[RequestKind, ...]] = ("safe", "unsafe", "download")
 
 Target = tuple[int, int]
 """Destination of a caller's flow: IPv4 address as a number, and port."""
@@ -61,12 +62,14 @@
     The choice depends on the flow only, so that every copy of an opening gets the same
     service on any balancer. Return None if no share has a weight.
     """
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    total = sum(share.weight for share in route.shares)
+    shares = [share for share in route.shares if share.weight > 0]
+    if len(shares) == 1:
+        return shares[0].service
+    total = sum(share.weight for share in shares)
     point = xxhash.xxh3_64_intdigest(flow_key) / 2.0**64 * total
-    for share in route.shares:
+    for share in shares:
         point -= share.weight
         if point < 0:
             return share.service
-    return None
+    # Rounding may leave a remainder after the last share.
+    return shares[-1].service if shares else None
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -189,3 +189,41 @@
             assert current.task.cancelled()
 
     run(scenario)
+
+
+def test_a_socket_error_does_not_end_the_bus(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a control that publishes or answers nothing after one error."""
+
+    async def scenario() -> None:
+        publisher, subscriber = BusFixture("control-1"), BusFixture("control-2")
+        failures: list[str] = []
+
+        def fail_once(
+            method: abc.Callable[..., abc.Awaitable[typing.Any]], step: str
+        ) -> abc.Callable[..., abc.Awaitable[typing.Any]]:
+            async def call(*arguments: typing.Any) -> typing.Any:
+                if step not in failures:
+                    failures.append(step)
+                    raise pynng.ConnectionReset("reset", 10)
+                return await method(*arguments)
+
+            return call
+
+        monkeypatch.setattr(
+            publisher.bus.publisher,
+            "asend",
+            fail_once(publisher.bus.publisher.asend, "publish"),
+        )
+        subscriber.bus.subscribe([("control-1", publisher.address)])
+        digest = digests.Digest("control-1", "riga-a", ())
+        deadline = asyncio.get_running_loop().time() + 5
+        while subscriber.events.empty():
+            assert asyncio.get_running_loop().time() < deadline
+            publisher.bus.publish(digest)
+            await asyncio.sleep(0.05)
+        assert failures == ["publish"]
+        assert publisher.counts["bus_drops"] == 1
+        publisher.bus.close()
+        subscriber.bus.close()
+
+    asyncio.run(scenario())
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -324,3 +324,29 @@
         kept = peer.replicator.overrides.get(build.SERVICE, {})
         for flow in orphaned:
             assert hashing.fingerprint_flow(build.SERVICE, flow) not in kept
+
+
+def test_expired_overrides_leave_no_replaced_ones_behind() -> None:
+    """Guard against memory that grows with each owner that leaves."""
+    received = receivedoverrides.ReceivedOverrides(30.0)
+    received.set_owners(["entry-001", "entry-002"], 0.0)
+    fingerprint = bytes(hashing.FINGERPRINT_BYTES)
+    for number, owner in enumerate(("entry-001", "entry-002"), 1):
+        puts = {f"booking-{number}": fingerprint}
+        received.apply(owner, wire.Batch(1, 1, build.SERVICE, puts), 0.0)
+    assert received.shadowed
+    received.set_owners([], 1.0)
+    received.expire(60.0)
+    assert not received.shadowed
+    assert received.count == 0
+
+
+def test_a_withdrawn_override_leaves_no_empty_batch() -> None:
+    """Guard against batches without content that use up the byte budget."""
+    queue = channel.Channel()
+    queue.add_bulk(build.SERVICE, bytes(6))
+    queue.discard(build.SERVICE, bytes(6))
+    assert not queue.bulks
+    queue.queue_completion(build.SERVICE, 2)
+    queue.discard(build.SERVICE, bytes(6))
+    assert [bulk.version for bulk in queue.bulks] == [2]
