Keep forwarders whole after errors, pauses and stops

Cause, found by reading and shown by tests that failed first: an unexpected error ended a task of the forwarder for good, for example the one that follows the store; a process that had been paused forwarded packets that had waited up to the whole pause, by the state from before it; a stop kept openings that were held at the start until they expired; a late packet of an earlier flow from the same caller's port moved the new flow to its upstream.

Change: the lasting tasks run again after an error; a pause is measured with suspensions, what waited over 1.4 s is discarded, and after a pause beyond the bound on changes packets wait until the store has been asked, 0.3 s at most; a stop releases what is held at once; a packet far from the opening's sequence is not counted to the flow. The forwarder's reports, settings, health checks and pauses are modules of their own.

--- a/src/pistachioshed/adapters/eventloop.py
+++ b/src/pistachioshed/adapters/eventloop.py
@@ -17,6 +17,9 @@
 READABLE: typing.Final = selectors.EVENT_READ
 WRITABLE: typing.Final = selectors.EVENT_WRITE
 
+# Long enough that a service that always fails takes little processor time.
+SERVICE_RESTART_S: typing.Final = 0.5
+
 Callback = abc.Callable[[], None]
 HandleError = abc.Callable[[str, Exception], None]
 """Report an error that ended a task or a callback, given its name."""
@@ -140,6 +143,14 @@
         self.ready.append(lambda: self._resume(task, True))
         return task
 
+    def start_service(
+        self,
+        run: abc.Callable[[], abc.Coroutine[typing.Any, bool, None]],
+        name: str,
+    ) -> Task:
+        """Run a coroutine function as a task, and again after each unexpected error."""
+        return self.start_task(self._keep_running(run, name), name)
+
     def cancel(self, task: Task) -> None:
         """Raise `Cancelled` inside a task, unless it has ended."""
         if task.done or task.cancelled:
@@ -247,6 +258,19 @@
             if timer is not None:
                 timer.cancel()
 
+    async def _keep_running(
+        self,
+        run: abc.Callable[[], abc.Coroutine[typing.Any, bool, None]],
+        name: str,
+    ) -> None:
+        while True:
+            try:
+                await run()
+                return
+            except Exception as error:
+                self.handle_error(name, error)
+            await self.sleep(SERVICE_RESTART_S)
+
     def _find_wait(self, wait_max_s: float | None) -> float | None:
         while self.timers and self.timers[0][2].callback is None:
             heapq.heappop(self.timers)
--- a/src/pistachioshed/adapters/forwarding.py
+++ b/src/pistachioshed/adapters/forwarding.py
@@ -10,6 +10,8 @@
 DATAGRAM_MAX_BYTES: typing.Final = 2_048
 # Bounded so that the event loop can serve timers and other sockets in between.
 PACKETS_PER_RECEIVE_MAX: typing.Final = 64
+# More than the socket's buffer holds of the smallest packets.
+DISCARDED_MAX: typing.Final = 10_000
 
 Count = abc.Callable[..., None]
 
@@ -71,6 +73,29 @@
             else:
                 self.held_packets.append((now, data))
 
+    def hold_packets(self) -> None:
+        """Hold packets until `release_held_packets` is called."""
+        if self.held_packets is None:
+            self.held_packets = collections.deque(maxlen=admission.HELD_PACKETS_MAX)
+
+    def discard_waiting_packets(self) -> int:
+        """Discard all packets that have arrived so far, and return their number."""
+        discarded = 0
+        if self.held_packets is not None:
+            discarded += len(self.held_packets)
+            self.held_packets.clear()
+        while discarded < DISCARDED_MAX:
+            try:
+                self.sock.recv(DATAGRAM_MAX_BYTES)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                self.count("receive_errors", reason=error.strerror or "unknown")
+                continue
+            discarded += 1
+        self.count("packets", discarded, outcome="outdated")
+        return discarded
+
     def release_held_packets(self) -> None:
         """Handle the held packets, and handle later ones on arrival."""
         if self.held_packets is None:
--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -1,5 +1,6 @@
 """Run a forwarder: a balancer without flow state that reads the platform's store."""
 
+import math
 import os
 import signal
 import socket
@@ -15,9 +16,15 @@
     jsonlog,
     metrics,
     packetsocket,
-    reportsocket,
 )
-from pistachioshed.apps import forwarderoptions, statesync
+from pistachioshed.apps import (
+    forwarderoptions,
+    healthcheck,
+    pauses,
+    peerlink,
+    settingswatch,
+    statesync,
+)
 from pistachioshed.core import (
     admission,
     changetiming,
@@ -25,26 +32,20 @@
     dispatch,
     peertable,
     reportbuilder,
-    reportpacer,
     segments,
     servingstate,
 )
-from pistachioshed.platform import packets, records
+from pistachioshed.platform import packets
 
 # While openings wait for their handshake: a third of the time that it may take.
 TICK_S: typing.Final = 0.02
 # Otherwise: half of the gap after which the dispatcher assumes that this process was
 # paused.
 IDLE_TICK_S: typing.Final = 0.05
-PROBE_TIMEOUT_S: typing.Final = 0.4  # Below the interval between probes.
-PROBE_CONNECT_S: typing.Final = 0.15  # More than ten round trips to another zone.
 # The fabric takes a balancer out of rotation after 2 failed checks, 0.5 s apart.
 ROTATION_EXIT_S: typing.Final = 1.3
 QUIET_PERIOD_S: typing.Final = 0.8
 STOP_MARGIN_S: typing.Final = 0.7
-SETTINGS_POLL_S: typing.Final = 2.0
-
-Address = tuple[str, int]
 
 
 class Forwarder:
@@ -71,7 +72,6 @@
     ) -> None:
         self.settings = settings
         self.log_stream = log_stream
-        self.settings_path = settings_path
         self.metrics = metrics.Metrics("pistachioshed_forwarder")
         self.serving: servingstate.State = "starting"
         self.loop = eventloop.EventLoop(self.handle_error)
@@ -79,28 +79,18 @@
         self.stop_requested_at = 0.0
         self.unserved_services: list[str] = []
         self.is_stopped = False
-        self.has_settled = False
+        self.pauses = pauses.PauseDetector()
+        self.held_until = -math.inf
         self.servers: list[http1.Server] = []
         self.peers = peertable.PeerTable(
             settings.name,
             settings.zone,
-            self.list_seeds(settings),
+            settingswatch.list_seeds(settings),
             settings.capacity,
         )
         self.dispatcher = dispatch.Dispatcher(
             settings.zone, self.peers, self.record, self.observe, os.getpid()
         )
-        self.report_builder = reportbuilder.ReportBuilder(
-            reportbuilder.Identity(
-                settings.name,
-                settings.zone,
-                settings.peers,
-                time.time_ns() // 1_000_000,
-                settings.capacity,
-            ),
-            self.dispatcher,
-            reportpacer.ReportPacer(),
-        )
         self.packet_socket = forwarding.PacketSocket(
             packet_socket,
             self.dispatcher,
@@ -124,18 +114,23 @@
             self.handle_state_change,
             self.metrics.count,
         )
-        self.report_socket = reportsocket.ReportSocket(
-            settings.peers, self.receive_report, self.metrics.count
+        self.peer_link = peerlink.PeerLink(
+            reportbuilder.Identity(
+                settings.name,
+                settings.zone,
+                settings.peers,
+                time.time_ns() // 1_000_000,
+                settings.capacity,
+            ),
+            self.dispatcher,
+            self.get_status,
+            self.metrics.count,
+            self.clock,
+        )
+        self.settings_watch = settingswatch.SettingsWatch(
+            self.loop, settings, settings_path, self.peers
         )
 
-    def list_seeds(
-        self, settings: forwarderoptions.ForwarderSettings
-    ) -> abc.Iterator[Address]:
-        """Yield the addresses of the seeds; all forwarders use the same ports."""
-        for host in settings.seeds:
-            if host != settings.peers[0]:
-                yield host, settings.peers[1]
-
     def record(self, event: str, **fields: typing.Any) -> None:
         """Log and count a decision or a change of state."""
         segment = fields.pop("segment", None)
@@ -148,12 +143,15 @@
         """Add the latency of a response to its route's histogram."""
         self.metrics.observe("response", latency_s, route=route)
 
-    def start(self) -> None:
-        """Start all tasks and servers on the event loop."""
+    def start(self, bound_s: float = 0.0) -> None:
+        """Start all tasks and servers on the event loop.
+
+        `bound_s` is for how long the packet socket has been bound, in seconds.
+        """
         jsonlog.log_event(
             "started",
             settings=self.settings._asdict(),
-            cpu_s=round(time.process_time(), 3),
+            bound_s=round(bound_s, 3),
         )
         self.loop.add_callback(
             self.packet_socket.sock, eventloop.READABLE, self.packet_socket.receive
@@ -167,8 +165,8 @@
                 (self.settings.metrics, self.handle_metrics_request),
             )
         ]
-        self.loop.start_task(self.poll_settings(), "poll settings")
-        self.loop.start_task(self.run_tick_loop(), "tick")
+        self.loop.start_service(self.settings_watch.run, "watch settings")
+        self.loop.start_service(self.run_tick_loop, "tick")
 
     def close(self) -> None:
         """Cancel all tasks and close all sockets."""
@@ -177,13 +175,13 @@
         self.loop.remove_callback(self.packet_socket.sock, eventloop.READABLE)
         self.loop.close()
         self.packet_socket.close()
-        self.report_socket.close()
+        self.peer_link.close()
         jsonlog.log_event("stopped", dropped_lines=self.count_dropped_lines())
 
     def handle_signal(self, number: int, _frame: typing.Any) -> None:
         """Handle a signal in the next round of the event loop."""
         if number == signal.SIGHUP:
-            self.loop.call_soon(lambda: self.reload("signal"))
+            self.loop.call_soon(lambda: self.settings_watch.reload("signal"))
         else:
             self.loop.call_soon(self.request_stop)
 
@@ -200,10 +198,15 @@
             self.serving = servingstate.apply_signal(previous, "state known")
             if self.serving != previous:
                 jsonlog.log_event("serving")
-                self.packet_socket.release_held_packets()
+            self.packet_socket.release_held_packets()
 
     def update_packet_hold(self, now: float) -> None:
         """Stop holding packets once waiting no longer helps their callers."""
+        if self.serving == "serving":
+            # After a pause: what is known serves better than nothing.
+            if now >= self.held_until:
+                self.packet_socket.release_held_packets()
+            return
         zone_peers = [
             peer for peer in self.peers.list_live(now) if peer.zone == self.peers.zone
         ]
@@ -245,9 +248,10 @@
             is_waiting = bool(self.dispatcher.flow_tracker.pending)
             await self.loop.sleep(TICK_S if is_waiting else IDLE_TICK_S)
             try:
+                self.handle_pause(self.pauses.measure_pause())
                 # Reports are read on ticks; a wake-up for each costs more than the
                 # report.
-                self.report_socket.receive()
+                self.peer_link.receive()
                 # Packets from a pause of this process are handled before its timeouts.
                 self.packet_socket.receive()
                 self.tick(self.clock())
@@ -255,6 +259,28 @@
                 # Packets are forwarded even without ticks; the next tick runs as usual.
                 self.handle_error("tick", error)
 
+    def handle_pause(self, pause_s: float) -> None:
+        """Discard what waited during a pause, and refresh the state if it is old.
+
+        A request that is forwarded long after its caller has given up would still run.
+        """
+        if pause_s <= admission.PAUSE_MAX_S:
+            return
+        discarded = self.packet_socket.discard_waiting_packets()
+        is_outdated = pause_s * 1000 > min(
+            self.settings.configuration_ms, self.settings.drain_ms
+        )
+        jsonlog.log_event(
+            "resumed after a pause",
+            pause_s=round(pause_s, 3),
+            discarded=discarded,
+            refreshes=is_outdated,
+        )
+        if is_outdated and self.serving == "serving":
+            self.packet_socket.hold_packets()
+            self.held_until = self.clock() + admission.PACKET_HOLD_MIN_S
+            self.state_sync.refresh()
+
     def tick(self, now: float) -> None:
         """Check timeouts, start probes, report to peers and end a graceful stop."""
         services = self.dispatcher.configuration.services
@@ -266,15 +292,23 @@
         if unserved_services != self.unserved_services:
             self.unserved_services = unserved_services
             jsonlog.log_event("unserved services", services=unserved_services)
-        if not self.has_settled and self.state_sync.is_settled(now):
-            self.has_settled = True
-            self.log_peers(now)
-        self.report(now)
+        if not self.peer_link.has_settled and self.state_sync.is_settled(now):
+            self.peer_link.settle(now)
+        self.peer_link.report(now)
         if self.packet_socket.held_packets is not None:
             self.update_packet_hold(now)
         if self.serving == "leaving":
             self.check_stop(now)
 
+    async def probe(self, upstream: directory.Upstream, health_path: str) -> None:
+        """Check the health of an upstream and record the outcome."""
+        result = await healthcheck.check_health(self.loop, upstream, health_path)
+        self.metrics.count("probes", outcome=result.outcome)
+        self.dispatcher.record_probe(
+            upstream, result.outcome, result.detail, self.clock()
+        )
+        self.packet_socket.perform_queued_actions()
+
     def get_status(self, now: float) -> reportbuilder.Status:
         """Return the state that reports contain beside that of the dispatcher."""
         return reportbuilder.Status(
@@ -284,65 +318,6 @@
             self.serving == "leaving",
         )
 
-    def report(self, now: float) -> None:
-        """Send the due report, if any, to peers."""
-        outgoing = self.report_builder.build_due_report(self.get_status(now), now)
-        if outgoing is not None:
-            self.send_report(outgoing, now)
-
-    def send_report(self, outgoing: reportbuilder.OutgoingReport, now: float) -> None:
-        """Send a report and charge it to the byte budget."""
-        size = self.report_socket.send(outgoing.message, outgoing.recipients)
-        self.report_builder.record_sent(outgoing, size, now)
-
-    def receive_report(
-        self, message: reportbuilder.Message, address: tuple[str, int]
-    ) -> None:
-        """Handle a heartbeat or report of a peer."""
-        now = self.clock()
-        if isinstance(message, peertable.Heartbeat):
-            self.peers.record_heartbeat(address, message, now)
-            return
-        is_known = message.name in self.peers.peers or message.name == self.peers.name
-        if not self.dispatcher.monitor.handle_peer_report(message, now) or is_known:
-            return
-        if self.has_settled:
-            jsonlog.log_event("peer found", peer=message.name, peer_zone=message.zone)
-        greeting = self.report_builder.build_greeting(
-            self.get_status(now), message.address, now
-        )
-        if greeting is not None:
-            self.send_report(greeting, now)
-
-    def log_peers(self, now: float) -> None:
-        """Log in one line how many peers were found in each zone since the start."""
-        zones: dict[str, int] = {}
-        for peer in self.peers.list_live(now):
-            zones[peer.zone] = zones.get(peer.zone, 0) + 1
-        jsonlog.log_event("peers found", zones=zones)
-
-    async def probe(self, upstream: directory.Upstream, health_path: str) -> None:
-        """Check the health of an upstream over HTTP and record the outcome."""
-        connection = http1.Connection(self.loop, upstream.address, PROBE_CONNECT_S)
-        outcome: segments.ProbeOutcome
-        try:
-            response = await connection.request("GET", health_path, PROBE_TIMEOUT_S)
-        except http1.HttpError as error:
-            detail = str(error)
-            outcome = "busy" if error.connected else "silent"
-            if error.refused:
-                outcome = "refused"
-        else:
-            instance_id = response.headers.get(records.INSTANCE_HEADER)
-            passed = response.status == 200 and instance_id == upstream.name
-            outcome = "passed" if passed else "failed"
-            detail = f"status {response.status} of {instance_id}"
-        finally:
-            connection.close()
-        self.metrics.count("probes", outcome=outcome)
-        self.dispatcher.record_probe(upstream, outcome, detail, self.clock())
-        self.packet_socket.perform_queued_actions()
-
     def request_stop(self) -> None:
         """Start a graceful stop.
 
@@ -353,7 +328,9 @@
             return
         self.stop_requested_at = self.clock()
         self.serving = servingstate.apply_signal(self.serving, "stop requested")
-        jsonlog.log_event("stop requested", stop_s=self.settings.stop_s)
+        jsonlog.log_event("stop requested", stop_s=self.settings_watch.settings.stop_s)
+        # Without state, held openings are refused, so that their callers try elsewhere.
+        self.packet_socket.release_held_packets()
 
     def check_stop(self, now: float) -> None:
         """End a graceful stop.
@@ -366,47 +343,10 @@
             waited_s > ROTATION_EXIT_S
             and now - self.packet_socket.received_at > QUIET_PERIOD_S
         )
-        if is_quiet or waited_s > self.settings.stop_s - STOP_MARGIN_S:
+        if is_quiet or waited_s > self.settings_watch.settings.stop_s - STOP_MARGIN_S:
             self.serving = servingstate.apply_signal(self.serving, "finished")
             self.is_stopped = True
 
-    async def poll_settings(self) -> None:
-        """Reload the settings when their file changes, without a signal."""
-        content = b""
-        while True:
-            await self.loop.sleep(SETTINGS_POLL_S)
-            try:
-                with open(self.settings_path, "rb") as file:
-                    new_content = file.read()
-            except OSError as error:
-                jsonlog.log_failure("settings not read", cause=str(error))
-                continue
-            if new_content != content:
-                content = new_content
-                self.reload("file")
-
-    def reload(self, cause: typing.Literal["file", "signal"]) -> None:
-        """Apply `seeds` and `stop_s` of the settings file; the rest needs a restart."""
-        try:
-            settings = forwarderoptions.read_forwarder_settings(self.settings_path)
-        except ExceptionGroup as group:
-            faults = [str(fault) for fault in group.exceptions]
-            jsonlog.log_failure("reload refused", cause=cause, faults=faults)
-            return
-        self.peers.add_seeds(self.list_seeds(settings))
-        changed = [
-            field
-            for field, old, new in zip(
-                settings._fields, self.settings, settings, strict=True
-            )
-            if old != new
-        ]
-        if changed or cause == "signal":
-            jsonlog.log_event("reloaded", cause=cause, changed=changed)
-        self.settings = self.settings._replace(
-            seeds=settings.seeds, stop_s=settings.stop_s
-        )
-
 
 def format_flow(segment: segments.Segment) -> str:
     """Return caller and target of a flow as "ip:port>ip:port"."""
@@ -421,10 +361,12 @@
 def main(
     arguments: abc.Sequence[str] = tuple(sys.argv[1:]),
     packet_socket: socket.socket | None = None,
+    started_at: float | None = None,
 ) -> int:
     """Run a forwarder with the settings file named by the first argument.
 
-    `packet_socket` is already bound, if it is given.
+    `packet_socket` is already bound, if it is given; `started_at` is the monotonic time
+    at which it was.
     """
     if list(arguments) == ["--list-settings"]:
         print("\n".join(forwarderoptions.list_options()))
@@ -452,7 +394,8 @@
     )
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, forwarder.handle_signal)
-    forwarder.start()
+    bound_s = 0.0 if started_at is None else time.monotonic() - started_at
+    forwarder.start(bound_s)
     forwarder.loop.run_until(lambda: forwarder.is_stopped)
     forwarder.close()
     return 0
--- a/src/pistachioshed/apps/forwarderstart.py
+++ b/src/pistachioshed/apps/forwarderstart.py
@@ -6,6 +6,7 @@
 
 import gc
 import sys
+import time
 
 from pistachioshed.adapters import inifile, packetsocket
 
@@ -37,6 +38,7 @@
 
 def main() -> int:
     """Run a forwarder with the arguments of the process."""
+    started_at = time.monotonic()
     arguments = sys.argv[1:]
     descriptor = bind_early(arguments[0]) if len(arguments) == 1 else None
     # What the imports create stays until the process ends.
@@ -48,7 +50,7 @@
     gc.freeze()
     gc.enable()
     packet_socket = None if descriptor is None else socket.socket(fileno=descriptor)
-    return forwarder.main(arguments, packet_socket)
+    return forwarder.main(arguments, packet_socket, started_at)
 
 
 if __name__ == "__main__":
--- a/src/pistachioshed/apps/statesync.py
+++ b/src/pistachioshed/apps/statesync.py
@@ -92,9 +92,11 @@
     def start(self) -> None:
         """Read the state and keep it current."""
         self.start_watching()
-        self.loop.start_task(self.run_role_loop(), "choose role")
-        self.loop.start_task(self.run_catch_up_loop(), "catch up with peers")
-        self.loop.start_task(self.store_check.run(self.describe_watch), "check store")
+        self.loop.start_service(self.run_role_loop, "choose role")
+        self.loop.start_service(self.run_catch_up_loop, "catch up with peers")
+        self.loop.start_service(
+            lambda: self.store_check.run(self.describe_watch), "check store"
+        )
 
     def describe_watch(self) -> storecheck.Watching:
         """Return whether this forwarder watches the store and can reach it."""
@@ -116,6 +118,16 @@
         """Return whether this forwarder knows the others of its zone."""
         return now - self.started_at > ROLE_SETTLE_S
 
+    def refresh(self) -> None:
+        """Ask the store at once for changes, after a pause of this process."""
+        if self.feed is not None:
+            self.feed.doubt_connection()
+        self.loop.start_task(self._refresh(), "refresh state")
+
+    async def _refresh(self) -> None:
+        if await self.store_check.check():
+            self.publish_change()
+
     def publish_change(self) -> None:
         """Wake the requests of peers that wait for changes, and call `on_change`."""
         self.state_changed.set()
@@ -136,7 +148,7 @@
             self.timing.batch_delay_s,
             random.random,
         )
-        self.watch_task = self.loop.start_task(self.feed.run(), "follow the store")
+        self.watch_task = self.loop.start_service(self.feed.run, "follow the store")
 
     def stop_watching(self) -> None:
         """Stop following the store; the watchers of the zone continue to."""
--- a/src/pistachioshed/apps/storecheck.py
+++ b/src/pistachioshed/apps/storecheck.py
@@ -105,8 +105,14 @@
             names = {self.name, *(report.name for report in reports)}
         return changetiming.choose_checker(names, slot) == self.name
 
-    async def check(self) -> None:
-        """Ask the store on a new connection for changes that are not yet known."""
+    async def check(self) -> bool:
+        """Ask the store on a new connection for changes that are not yet known.
+
+        Returns
+        -------
+        bool
+            Whether the store answered.
+        """
         client = storeclient.StoreClient(
             self.loop, self.store_address, self.timing.check_timeout_s
         )
@@ -120,21 +126,24 @@
                 )
                 self.deliver(batch)
         except store.HistoryLost:
-            await self._read_snapshot(client)
+            return await self._read_snapshot(client)
         except store.StoreError as error:
             self._record_failure(error)
+            return False
         finally:
             client.close()
+        return True
 
-    async def _read_snapshot(self, client: storeclient.StoreClient) -> None:
+    async def _read_snapshot(self, client: storeclient.StoreClient) -> bool:
         self.count("store_calls", call="range")
         try:
             response = await client.read_prefix(records.STATE_PREFIX)
         except store.StoreError as error:
             self._record_failure(error)
-            return
+            return False
         jsonlog.log_event("check read a snapshot", revision=response.revision)
         self.deliver(storefeed.make_snapshot(response))
+        return True
 
     def _record_failure(self, error: store.StoreError) -> None:
         self.failed_at = self.loop.clock()
--- a/src/pistachioshed/core/admission.py
+++ b/src/pistachioshed/core/admission.py
@@ -17,6 +17,9 @@
 # An older held opening has been retransmitted since, or its attempt is nearly over:
 # callers retransmit after 0.2 and 0.6 s and give up after 1.4 s.
 HELD_PACKET_AGE_MAX_S: typing.Final = 0.8
+# After a longer pause of the process the callers of all waiting packets have given up
+# the attempt or retransmit anyway.
+PAUSE_MAX_S: typing.Final = 1.4
 # Openings and their retransmissions of 0.8 s on the busiest expected machine.
 HELD_PACKETS_MAX: typing.Final = 1_024
 
--- a/src/pistachioshed/core/dispatch.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -43,6 +43,9 @@
 SWEEP_INTERVAL_S: typing.Final = 0.5  # A third of the shortest expected timeout.
 SEQUENCE_RANGE: typing.Final = 2**32
 HALF_SEQUENCE_RANGE: typing.Final = 2**31
+# A packet further from the opening belongs to an earlier flow from the same port. The
+# first sequence numbers of flows are random.
+FLOW_BYTES_MAX: typing.Final = 2**24
 
 
 class Dispatcher:
@@ -256,7 +259,7 @@
     def _forward_by_token(
         self, segment: segments.Segment, now: float
     ) -> segments.Action:
-        flow = self.flow_tracker.find(segment)
+        flow = self._find_flow(segment)
         upstream = self.directory.find_by_token(segment.token)
         if upstream is None:
             if flow is None:
@@ -276,6 +279,14 @@
             self._update_flow(flow, segment, now)
         return segments.Forward(upstream, write_token=False)
 
+    def _find_flow(self, segment: segments.Segment) -> flowtracker.Flow | None:
+        """Return the flow of a packet, None for a late packet of an earlier flow."""
+        flow = self.flow_tracker.find(segment)
+        if flow is None:
+            return None
+        offset = (segment.sequence - flow.segment.sequence) % SEQUENCE_RANGE
+        return flow if offset <= FLOW_BYTES_MAX else None
+
     def _update_flow(
         self, flow: flowtracker.Flow, segment: segments.Segment, now: float
     ) -> None:
--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -15,7 +15,10 @@
 
 
 class MetadataStore:
-    """Keys with revisions, and the changes after `history_start_revision`."""
+    """Keys with revisions, and the changes after `history_start_revision`.
+
+    `failure` makes all calls fail; `invalid_response` replaces all responses.
+    """
 
     def __init__(self) -> None:
         self.revision = 1
@@ -23,6 +26,7 @@
         self.history: list[dict[str, object]] = []
         self.history_start_revision = 1
         self.failure: Failure = "none"
+        self.invalid_response = b""
         self.calls = 0
         self.changed = asyncio.Event()
         self.server: asyncio.Server | None = None
@@ -65,6 +69,8 @@
             await asyncio.sleep(60.0)
         if self.failure != "none":
             return http1.Response(429 if self.failure == "many" else 503, {}, b"")
+        if self.invalid_response:
+            return http1.Response(200, {}, self.invalid_response)
         url = urllib.parse.urlsplit(request.target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         if url.path == "/api/kv-range":
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from pistachioshed.apps import forwarder
+from pistachioshed.apps import settingswatch
 from pistachioshed.core import admission
 from pistachioshed.platform import packets
 from standins import http1, metadatastore
@@ -329,9 +329,9 @@
             assert second not in first.peers.addresses
             fleet.write_settings(1, seeds="127.0.1.2:1")
             await forwarderfleet.wait_until(lambda: second in first.peers.addresses)
-            pathlib.Path(first.settings_path).write_text("[balancer]\nname = \n")
-            first.reload("signal")
-            assert first.settings.name == "front-1"
+            pathlib.Path(first.settings_watch.path).write_text("[balancer]\nname = \n")
+            first.settings_watch.reload("signal")
+            assert first.settings_watch.settings.name == "front-1"
 
     asyncio.run(scenario())
 
@@ -340,7 +340,7 @@
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guard against a reload that waits for the next poll of the file."""
-    monkeypatch.setattr(forwarder, "SETTINGS_POLL_S", 600.0)
+    monkeypatch.setattr(settingswatch, "SETTINGS_POLL_S", 600.0)
 
     async def scenario() -> None:
         async with open_fleet(tmp_path) as fleet:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -218,6 +218,32 @@
     asyncio.run(scenario())
 
 
+def test_a_failed_handler_closes_only_its_own_connection() -> None:
+    """Guard against a request that stops the server by an unexpected error."""
+
+    async def scenario() -> None:
+        driver = loopdriver.LoopDriver()
+
+        async def fail(request: http1.Request) -> http1.Response:
+            if request.target == "/fail":
+                raise RuntimeError("injected")
+            return http1.Response(200, {}, b"")
+
+        server = http1.Server(driver.loop, ("127.0.0.1", 0), fail)
+        task = asyncio.create_task(driver.keep_running())
+        address = server.sock.getsockname()
+        with pytest.raises(standinhttp.HttpError):
+            await standinhttp.Connection(address).request("GET", "/fail", 1.0)
+        connection = standinhttp.Connection(address)
+        assert (await connection.request("GET", "/", 1.0)).status == 200
+        assert [str(error) for _, error in driver.errors] == ["injected"]
+        connection.close()
+        task.cancel()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
 @hypothesis.given(strategies.binary(max_size=300))
 def test_any_bytes_are_parsed_or_rejected(data: bytes) -> None:
--- /dev/null
+++ b/tests/test_reportedfailures.py
@@ -0,0 +1,362 @@
+"""Failures that operators of similar systems reported, brought about in forwarders."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import typing
+import zlib
+from collections import abc
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from pistachioshed.adapters import eventloop, reportsocket, statemessages
+from pistachioshed.apps import forwarder, pauses
+from pistachioshed.core import segments
+from pistachioshed.platform import packets, records, storeclient
+from tests import dispatchbuilders as build
+from tests import forwarderfleet
+
+# The bound of the users' smaller deployments, which is the default of the settings.
+BOUND_S: typing.Final = 3.0
+
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=14)
+        | strategies.dictionaries(strategies.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=20,
+)
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(folder: pathlib.Path) -> abc.AsyncIterator[forwarderfleet.Fleet]:
+    """Start a store with a configuration and a host; stop everything on exit."""
+    fleet = forwarderfleet.Fleet(folder)
+    await fleet.start()
+    fleet.configure(1, "booking")
+    try:
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+def test_a_late_packet_of_an_earlier_flow_does_not_change_a_flow_from_its_port() -> (
+    None
+):
+    """Guard against an answer of an earlier upstream on a port that is in use again.
+
+    A caller opens a flow from a port that it has used before; a packet of the earlier
+    flow arrives late, with the token of another upstream.
+    """
+    balancer = build.Balancer(build.FIRST, build.SECOND)
+    first = balancer.open(now=0.0)
+    other = build.SECOND if first == build.FIRST else build.FIRST
+    late = build.build_data(other.token, sequence=3_000_000_000, length=10)
+    action = balancer.dispatcher.handle(late, b"", 0.01)
+    assert isinstance(action, segments.Forward) and action.upstream == other
+    flow = balancer.dispatcher.flow_tracker.find(build.build_segment())
+    assert flow is not None and flow.upstream == first and not flow.opened
+    repeated = balancer.dispatcher.handle(build.build_segment(copy=1), b"", 0.02)
+    assert isinstance(repeated, segments.Forward) and repeated.upstream == first
+
+
+def test_a_stop_refuses_openings_that_are_held(tmp_path: pathlib.Path) -> None:
+    """Guard against openings that a stopping forwarder accepted and never answers."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            caller = fleet.open_endpoint(forwarderfleet.CALLER_IP, fleet.port)
+            fleet.store.failure = "silent"
+            first = await fleet.start_forwarder(1)
+            opening = forwarderfleet.build_opening(40001)
+            caller.send(forwarderfleet.encode_packet(opening), first.settings.packets)
+            await forwarderfleet.wait_until(
+                lambda: bool(first.packet_socket.held_packets)
+            )
+            first.request_stop()
+            assert await caller.receive(0.2) == packets.encode_reset(opening)
+
+    asyncio.run(scenario())
+
+
+def test_a_restarted_forwarder_replaces_the_state_of_a_peer_that_is_behind(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against a host that left, or a route that was withdrawn, in use again."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            fleet.register("i-00000001", ("127.0.0.50", 9))
+            fleet.register("i-00000002", ("127.0.0.51", 9))
+            first_proxy = await fleet.add_proxy(1)
+            second_proxy = await fleet.add_proxy(2)
+            await fleet.start_serving(1)
+            first_proxy.set_fault("silent")
+            second_proxy.set_fault("silent")
+            fleet.remove("i-00000001")
+            fleet.configure(2, "sheets")
+            second = await fleet.start_forwarder(2)
+            await forwarderfleet.wait_until(lambda: second.serving == "serving")
+            dispatcher = second.dispatcher
+            assert dispatcher.configuration.version == 1
+            fleet.store.discard_history()
+            second_proxy.set_fault("none")
+            await forwarderfleet.wait_until(
+                lambda: (
+                    dispatcher.configuration.version == 2
+                    and "i-00000001" not in dispatcher.directory.upstreams
+                )
+            )
+            first = fleet.running["front-1"][0]
+            await forwarderfleet.wait_until(
+                lambda: (
+                    first.dispatcher.configuration.version == 2
+                    and "i-00000001" not in first.dispatcher.directory.upstreams
+                )
+            )
+
+    asyncio.run(scenario())
+
+
+def fail_once(
+    monkeypatch: pytest.MonkeyPatch, owner: object, name: str, failed: list[str]
+) -> None:
+    """Make the next call of a method raise an unexpected error."""
+    original = getattr(owner, name)
+
+    def call(*arguments: typing.Any, **keywords: typing.Any) -> typing.Any:
+        if name not in failed:
+            failed.append(name)
+            raise RuntimeError(f"injected into {name}")
+        return original(*arguments, **keywords)
+
+    monkeypatch.setattr(owner, name, call)
+
+
+def list_steps(process: forwarder.Forwarder) -> dict[str, tuple[object, str]]:
+    """Return a method of each task and callback of a forwarder."""
+    sync = process.state_sync
+    return {
+        "role": (sync, "choose_role"),
+        "catch up": (sync, "find_newer_peers"),
+        "store check": (sync.store_check, "is_checker"),
+        "configuration": (process.dispatcher, "configure"),
+        "upstreams": (process.dispatcher, "update_directory"),
+        "tick": (process, "tick"),
+        "reports": (process.dispatcher.monitor, "handle_peer_report"),
+        "settings": (process.settings_watch, "reload"),
+        "packets": (process.dispatcher, "handle"),
+        "status": (process.peer_link, "get_status"),
+    }
+
+
+STEPS: typing.Final = (
+    "role",
+    "catch up",
+    "store check",
+    "configuration",
+    "upstreams",
+    "tick",
+    "reports",
+    "settings",
+    "packets",
+    "status",
+)
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_one_unexpected_error_ends_nothing(
+    step: str, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a process that is taken down, or that goes on half dead."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            host = fleet.open_endpoint("127.0.0.50")
+            caller = fleet.open_endpoint(forwarderfleet.CALLER_IP, fleet.port)
+            fleet.register("i-00000001", host.address)
+            processes = [await fleet.start_serving(number) for number in (1, 2)]
+            failed: list[str] = []
+            owner, name = list_steps(processes[0])[step]
+            fail_once(monkeypatch, owner, name, failed)
+            opening = forwarderfleet.encode_packet(forwarderfleet.build_opening(40001))
+            fleet.configure(2, "booking")
+
+            def has_recovered() -> bool:
+                caller.send(opening, processes[0].settings.packets)
+                return bool(failed) and all(
+                    process.dispatcher.configuration.version == 2
+                    for process in processes
+                )
+
+            await forwarderfleet.wait_until(has_recovered)
+            await host.receive()
+            fleet.configure(3, "booking")
+            fleet.register("i-00000001", host.address, state="draining")
+            changed_at = asyncio.get_running_loop().time()
+            await forwarderfleet.wait_until(
+                lambda: all(
+                    process.dispatcher.configuration.version == 3
+                    and process.dispatcher.directory.upstreams["i-00000001"].draining
+                    for process in processes
+                )
+            )
+            assert asyncio.get_running_loop().time() - changed_at < BOUND_S
+            assert processes[0].metrics.get_count("task_failures") == 1
+            running = {task.name for task in processes[0].loop.running}
+            assert {"choose role", "catch up with peers", "check store"} <= running
+            assert {"tick", "watch settings"} <= running
+
+    asyncio.run(scenario())
+
+
+def test_after_a_pause_nothing_is_done_on_outdated_state(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against requests that run long after their callers have given up.
+
+    While a forwarder is suspended, its route is withdrawn; the monotonic clock stands
+    still meanwhile.
+    """
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            host = fleet.open_endpoint("127.0.0.50")
+            caller = fleet.open_endpoint(forwarderfleet.CALLER_IP, fleet.port)
+            fleet.register("i-00000001", host.address)
+            proxy = await fleet.add_proxy(1)
+            first = await fleet.start_serving(1)
+            # What the pause made the forwarder miss arrives only if it asks for it.
+            proxy.silence_open_connections()
+            stale = forwarderfleet.build_opening(40001)
+            caller.send(forwarderfleet.encode_packet(stale), first.settings.packets)
+            value = json.dumps(
+                {"version": 2, "routes": [], "services": [], "limits": {}}
+            ).encode()
+            fleet.store.put(records.CONFIGURATION_KEY, value)
+            now = pauses.read_boot_time()
+            monkeypatch.setattr(pauses, "read_boot_time", lambda: now + 20.0)
+            first.loop.remove_callback(first.packet_socket.sock, eventloop.READABLE)
+            await asyncio.sleep(0.1)
+            first.loop.add_callback(
+                first.packet_socket.sock,
+                eventloop.READABLE,
+                first.packet_socket.receive,
+            )
+            fresh = forwarderfleet.build_opening(40002)
+            caller.send(forwarderfleet.encode_packet(fresh), first.settings.packets)
+            assert await caller.receive() == packets.encode_reset(fresh)
+            assert first.dispatcher.configuration.version == 2
+            assert first.metrics.get_count("packets", outcome="outdated") == 1
+            with pytest.raises(TimeoutError):
+                await host.receive(0.1)
+
+    asyncio.run(scenario())
+
+
+@hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+@hypothesis.given(JSON_VALUES)
+def test_any_value_of_a_peer_or_the_store_is_decoded_or_rejected(
+    value: typing.Any,
+) -> None:
+    """Guard against a well-formed message of the wrong shape that ends a task."""
+    text = json.dumps(value).encode()
+    for kind in (reportsocket.REPORT_KIND, reportsocket.HEARTBEAT_KIND):
+        with contextlib.suppress(ValueError):
+            reportsocket.decode_message(kind + text)
+    with contextlib.suppress(statemessages.StateMessageError):
+        statemessages.decode_update(zlib.compress(text))
+    with contextlib.suppress(records.RecordError):
+        records.decode_configuration(text)
+    with contextlib.suppress(records.RecordError):
+        records.decode_upstream("i-00000001", text)
+    if isinstance(value, dict):
+        for decode in (storeclient.decode_page, storeclient.decode_batch):
+            with contextlib.suppress(ValueError):
+                decode(value)
+
+
+@hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+@hypothesis.given(strategies.data())
+def test_a_message_with_one_changed_field_is_decoded_or_rejected(
+    data: strategies.DataObject,
+) -> None:
+    """Guard against a field of the wrong type or range that is used as it is."""
+    report = json.loads(
+        reportsocket.encode_message(
+            build.build_report("front-2", suspected=frozenset({7}))
+        )[1:]
+    )
+    update = json.loads(
+        zlib.decompress(
+            statemessages.encode_update(build.Balancer(build.FIRST).dispatcher, 0, 0)
+        )
+    )
+    value = data.draw(JSON_VALUES)
+    for message in (report, update):
+        target = message
+        while True:
+            position = data.draw(strategies.integers(0, max(0, len(target) - 1)))
+            inner = target[position] if target else None
+            if not isinstance(inner, list) or not data.draw(strategies.booleans()):
+                break
+            target = inner
+        if target:
+            target[position] = value
+    decoded = None
+    with contextlib.suppress(ValueError):
+        decoded = reportsocket.decode_message(
+            reportsocket.REPORT_KIND + json.dumps(report).encode()
+        )
+    if decoded is not None:
+        balancer = build.Balancer(build.FIRST)
+        balancer.dispatcher.monitor.handle_peer_report(
+            typing.cast(typing.Any, decoded), 1.0
+        )
+        balancer.tick(1.1)
+    with contextlib.suppress(statemessages.StateMessageError):
+        decoded_update = statemessages.decode_update(
+            zlib.compress(json.dumps(update).encode())
+        )
+        receiver = build.Balancer(build.SECOND)
+        statemessages.apply_update(receiver.dispatcher, decoded_update, 1.0)
+        receiver.dispatcher.handle(build.build_segment(), b"", 1.0)
+        receiver.tick(1.1)
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        {},
+        {"items": [], "truncated": False},
+        {"items": [{}], "as-of": 3},
+        {"items": [{"key": "a", "value": "?", "revision": 1}], "as-of": 3},
+        {"events": [{"key": "a", "revision": "1"}], "as-of": 3},
+        {"events": {}, "as-of": None},
+    ],
+)
+def test_an_invalid_answer_of_the_store_counts_as_no_answer(
+    response: dict[str, typing.Any], tmp_path: pathlib.Path
+) -> None:
+    """Guard against a store client whose task ends on a missing key or bad base64."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            fleet.register("i-00000001", ("127.0.0.50", 9))
+            fleet.store.invalid_response = json.dumps(response).encode()
+            first = await fleet.start_forwarder(1)
+            await forwarderfleet.wait_until(lambda: fleet.store.calls >= 2)
+            assert first.serving == "starting"
+            fleet.store.invalid_response = b""
+            await forwarderfleet.wait_until(lambda: first.serving == "serving")
+            assert first.metrics.get_count("task_failures") == 0
+
+    asyncio.run(scenario())
