--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -146,7 +146,9 @@
     assert path_fixture.packet_path.counts["dropped", "early_data"] == 2
 
 
-@pytest.mark.parametrize("count", [8, 3_200, datagrams.MAX_PEERS + 5])
+@pytest.mark.parametrize(
+    "count", [8, datagrams.MAX_PEERS * 3 // 4, datagrams.MAX_PEERS + 5]
+)
 def test_peers_are_dropped_only_above_the_limit(
     path_fixture: PathFixture, count: int
 ) -> None:
--- a/tests/test_reportedfailures.py
+++ b/tests/test_reportedfailures.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import pathlib
+import time
 import typing
 import zlib
 from collections import abc
@@ -360,3 +361,13 @@
             assert first.metrics.get_count("task_failures") == 0
 
     asyncio.run(scenario())
+
+
+def test_a_suspension_counts_as_a_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a machine that was suspended and goes on as if nothing happened."""
+    clocks = {time.CLOCK_BOOTTIME: 100.0, time.CLOCK_MONOTONIC: 50.0}
+    monkeypatch.setattr(time, "clock_gettime", lambda clock: clocks[clock])
+    detector = pauses.PauseDetector()
+    clocks[time.CLOCK_BOOTTIME] += 20.0
+    assert detector.measure_pause() == 20.0
+    assert detector.measure_pause() == 0.0
--- a/tests/test_storecheck.py
+++ b/tests/test_storecheck.py
@@ -13,8 +13,10 @@
 
 import pytest
 
+from pistachioshed.adapters import eventloop, storefeed
 from pistachioshed.apps import forwarder
 from pistachioshed.core import changetiming
+from pistachioshed.ports import store
 from standins import loopbackproxy
 from tests import forwarderfleet
 
@@ -193,3 +195,65 @@
         detection_s = 2 * timing.check_interval_s + timing.check_timeout_s
         assert detection_s + timing.catch_up_delay_s < bound_s
         assert timing.batch_delay_s < timing.catch_up_delay_s
+
+
+class SilentClient:
+    """A store client whose first long poll never returns unless it is aborted."""
+
+    def __init__(self, loop: eventloop.EventLoop) -> None:
+        self.ended = eventloop.Event(loop)
+        self.waits: list[float] = []
+
+    async def read_prefix(self, prefix: str) -> store.RangeResponse:
+        """Return no pairs."""
+        return store.RangeResponse(1, ())
+
+    async def wait_for_changes(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> store.WatchBatch:
+        """Return a change at once if there is no wait."""
+        self.waits.append(wait_s)
+        if wait_s == 0.0:
+            return store.WatchBatch(2, (store.Event("op/config", b"", 2),))
+        await self.ended.wait()
+        self.ended.clear()
+        raise store.StoreUnavailable("watch", "store", "aborted")
+
+    def abort(self) -> None:
+        """End the long poll."""
+        self.ended.set()
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def test_a_doubted_long_poll_is_replaced_by_a_call_that_is_answered_at_once() -> None:
+    """Guard against a watcher that its peers overtake until its long poll ends."""
+    errors: list[str] = []
+    loop = eventloop.EventLoop(lambda name, error: errors.append(repr(error)))
+    client = SilentClient(loop)
+    delivered: list[store.WatchBatch] = []
+    may_watch = eventloop.Event(loop)
+    may_watch.set()
+    feed = storefeed.StoreFeed(
+        loop,
+        "",
+        client,
+        delivered.append,
+        lambda call: None,
+        1,
+        may_watch,
+        0.01,
+        lambda: 0.0,
+    )
+    task = loop.start_task(feed.run(), "feed")
+    loop.run_until(lambda: bool(client.waits))
+    feed.doubt_connection()
+    deadline = loop.clock() + 1.0
+    loop.run_until(lambda: bool(delivered) or loop.clock() > deadline)
+    assert [batch.revision for batch in delivered] == [2]
+    assert not feed.lost and not errors
+    loop.run_until(lambda: len(client.waits) == 3)
+    assert client.waits == [storefeed.LONG_POLL_S, 0.0, storefeed.LONG_POLL_S]
+    loop.cancel(task)
+    loop.close()
