--- a/tests/test_storecheck.py
+++ b/tests/test_storecheck.py
@@ -247,13 +247,13 @@
         lambda: 0.0,
     )
     task = loop.start_task(feed.run(), "feed")
-    loop.run_until(lambda: bool(client.waits))
-    feed.doubt_connection()
     deadline = loop.clock() + 1.0
+    loop.run_until(lambda: bool(client.waits) or loop.clock() > deadline)
+    feed.doubt_connection()
     loop.run_until(lambda: bool(delivered) or loop.clock() > deadline)
     assert [batch.revision for batch in delivered] == [2]
     assert not feed.lost and not errors
-    loop.run_until(lambda: len(client.waits) == 3)
+    loop.run_until(lambda: len(client.waits) == 3 or loop.clock() > deadline)
     assert client.waits == [storefeed.LONG_POLL_S, 0.0, storefeed.LONG_POLL_S]
     loop.cancel(task)
     loop.close()
