--- a/src/pistachioshed/apps/settingswatch.py
+++ b/src/pistachioshed/apps/settingswatch.py
@@ -8,6 +8,8 @@
 from pistachioshed.core import peertable
 
 SETTINGS_POLL_S: typing.Final = 2.0
+# The other settings are those of sockets and of the identity that peers know.
+APPLIED_FIELDS: typing.Final = ("seeds", "stop_s")
 
 Address = tuple[str, int]
 
@@ -15,8 +17,8 @@
 class SettingsWatch:
     """Reload the settings on a signal or when the content of the file changes.
 
-    `seeds` and `stop_s` apply at once; the other settings need a restart. Invalid
-    settings change nothing.
+    `APPLIED_FIELDS` apply at once; the other settings need a restart. A file with any
+    fault changes nothing.
 
     Parameters
     ----------
@@ -74,9 +76,16 @@
             if old != new
         ]
         if changed or cause == "signal":
-            jsonlog.log_event("reloaded", cause=cause, changed=changed)
+            jsonlog.log_event(
+                "reloaded",
+                cause=cause,
+                applied=[field for field in changed if field in APPLIED_FIELDS],
+                needs_restart=[
+                    field for field in changed if field not in APPLIED_FIELDS
+                ],
+            )
         self.settings = self.settings._replace(
-            seeds=settings.seeds, stop_s=settings.stop_s
+            **{field: getattr(settings, field) for field in APPLIED_FIELDS}
         )
 
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from pistachioshed.adapters import jsonlog
 from pistachioshed.apps import settingswatch
 from pistachioshed.core import admission
 from pistachioshed.platform import packets
@@ -424,3 +425,40 @@
             server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "content",
+    ["", "[balancer]\nname = front-1\n", "[balancer]\nstop_s = soon\n", "\x00\xff"],
+    ids=["empty", "half written", "invalid value", "garbage"],
+)
+def test_a_settings_file_with_a_fault_changes_nothing(
+    content: str, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against settings that apply while their file is being written."""
+    events: list[dict[str, object]] = []
+    monkeypatch.setattr(jsonlog, "_sink", lambda level, fields: events.append(fields))
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            fleet.register("i-00000001", ("127.0.0.50", 9))
+            first = await fleet.start_serving(1)
+            before = first.settings_watch.settings
+            path = pathlib.Path(first.settings_watch.path)
+            valid = path.read_text()
+            path.write_text(content, encoding="latin-1")
+            first.settings_watch.reload("signal")
+            assert first.settings_watch.settings == before
+            assert events[-1]["event"] == "reload refused" and events[-1]["faults"]
+            path.unlink()
+            first.settings_watch.reload("signal")
+            assert events[-1]["event"] == "reload refused"
+            path.write_text(
+                valid.replace("stop_s = 3", "stop_s = 4").replace("riga-a", "riga-b")
+            )
+            first.settings_watch.reload("signal")
+            first.settings_watch.reload("signal")
+            assert first.settings_watch.settings == before._replace(stop_s=4.0)
+            assert events[-1]["needs_restart"] == ["zone"]
+
+    asyncio.run(scenario())
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -11,6 +11,7 @@
     console,
     controloptions,
     forwarderoptions,
+    settingswatch,
 )
 
 PAGE: typing.Final = pathlib.Path(__file__).parents[1] / "docs" / "settings.md"
@@ -23,10 +24,11 @@
 
 
 class Program(typing.NamedTuple):
-    """A program, its options and its sections whose keys operators choose."""
+    """A program, its options, a note and its sections whose keys operators choose."""
 
     title: str
     options: abc.Sequence[ini.Option]
+    note: str = ""
     free_sections: tuple[tuple[str, str, str], ...] = ()
 
 
@@ -34,6 +36,7 @@
     Program(
         "pistachioshed-balancer",
         balanceroptions.OPTIONS,
+        "",
         (
             ("services", "NAME", "the service's listener, ip:port; at least one"),
             ("seeds", "NAME", "a balancer's peer address, until a VM list arrives"),
@@ -42,9 +45,16 @@
     Program(
         "pistachioshed-control",
         controloptions.OPTIONS,
+        "",
         (("seeds", "NAME", "a zone and a bus ip:port, until a VM list arrives"),),
     ),
-    Program("pistachioshed-forwarder", forwarderoptions.OPTIONS),
+    Program(
+        "pistachioshed-forwarder",
+        forwarderoptions.OPTIONS,
+        f"Applied when the file changes: {', '.join(settingswatch.APPLIED_FIELDS)}. "
+        "All others need a restart;\nthe log line `reloaded` names them. A file with a "
+        "fault changes nothing.",
+    ),
     Program("pistachioshed (operators' command)", console.OPTIONS),
 )
 
@@ -59,6 +69,7 @@
     lines = [
         f"## {program.title}",
         "",
+        *([program.note, ""] if program.note else []),
         "| section | key | default | allowed | meaning |",
         "|---|---|---|---|---|",
     ]
