--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from pistachioshed.apps import forwarder
+from pistachioshed.adapters import jsonlog
+from pistachioshed.apps import settingswatch
 from pistachioshed.core import admission
 from pistachioshed.platform import packets
 from standins import http1, metadatastore
@@ -329,9 +330,9 @@
             assert second not in first.peers.addresses
             fleet.write_settings(1, seeds="127.0.1.2:1")
             await forwarderfleet.wait_until(lambda: second in first.peers.addresses)
-            pathlib.Path(first.settings_path).write_text("[balancer]\nname = \n")
-            first.reload("signal")
-            assert first.settings.name == "front-1"
+            pathlib.Path(first.settings_watch.path).write_text("[balancer]\nname = \n")
+            first.settings_watch.reload("signal")
+            assert first.settings_watch.settings.name == "front-1"
 
     asyncio.run(scenario())
 
@@ -340,7 +341,7 @@
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guard against a reload that waits for the next poll of the file."""
-    monkeypatch.setattr(forwarder, "SETTINGS_POLL_S", 600.0)
+    monkeypatch.setattr(settingswatch, "SETTINGS_POLL_S", 600.0)
 
     async def scenario() -> None:
         async with open_fleet(tmp_path) as fleet:
@@ -424,3 +425,40 @@
             server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "content",
+    ["", "[balancer]\nname = front-1\n", "[balancer]\nstop_s = soon\n", "\x00\xff"],
+    ids=["empty", "half written", "invalid value", "garbage"],
+)
+def test_a_settings_file_with_a_fault_changes_nothing(
+    content: str, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against settings that apply while their file is being written."""
+    events: list[dict[str, object]] = []
+    monkeypatch.setattr(jsonlog, "_sink", lambda level, fields: events.append(fields))
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            fleet.register("i-00000001", ("127.0.0.50", 9))
+            first = await fleet.start_serving(1)
+            before = first.settings_watch.settings
+            path = pathlib.Path(first.settings_watch.path)
+            valid = path.read_text()
+            path.write_text(content, encoding="latin-1")
+            first.settings_watch.reload("signal")
+            assert first.settings_watch.settings == before
+            assert events[-1]["event"] == "reload refused" and events[-1]["faults"]
+            path.unlink()
+            first.settings_watch.reload("signal")
+            assert events[-1]["event"] == "reload refused"
+            path.write_text(
+                valid.replace("stop_s = 3", "stop_s = 4").replace("riga-a", "riga-b")
+            )
+            first.settings_watch.reload("signal")
+            first.settings_watch.reload("signal")
+            assert first.settings_watch.settings == before._replace(stop_s=4.0)
+            assert events[-1]["needs_restart"] == ["zone"]
+
+    asyncio.run(scenario())
