Notice a pause before the packets that waited in it

Cause, found by reading: after a pause the event loop calls the packet socket before any timer, so what had waited was forwarded before the tick measured the pause. Test first: a real process, stopped by SIGSTOP for 1.7 s, placed an opening that had waited (failed), and does not any more. Change: the pause is measured before packets are read. The command line of the forwarder is a module of its own.

--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -4,10 +4,8 @@
 import os
 import signal
 import socket
-import sys
 import time
 import typing
-from collections import abc
 
 from pistachioshed.adapters import (
     eventloop,
@@ -15,7 +13,6 @@
     http1,
     jsonlog,
     metrics,
-    packetsocket,
 )
 from pistachioshed.apps import (
     forwarderoptions,
@@ -154,7 +151,7 @@
             bound_s=round(bound_s, 3),
         )
         self.loop.add_callback(
-            self.packet_socket.sock, eventloop.READABLE, self.packet_socket.receive
+            self.packet_socket.sock, eventloop.READABLE, self.receive_packets
         )
         self.state_sync.start()
         self.servers = [
@@ -248,17 +245,24 @@
             is_waiting = bool(self.dispatcher.flow_tracker.pending)
             await self.loop.sleep(TICK_S if is_waiting else IDLE_TICK_S)
             try:
-                self.handle_pause(self.pauses.measure_pause())
                 # Reports are read on ticks; a wake-up for each costs more than the
                 # report.
                 self.peer_link.receive()
-                # Packets from a pause of this process are handled before its timeouts.
-                self.packet_socket.receive()
+                # Packets from a short pause are handled before its timeouts.
+                self.receive_packets()
                 self.tick(self.clock())
             except Exception as error:
                 # Packets are forwarded even without ticks; the next tick runs as usual.
                 self.handle_error("tick", error)
 
+    def receive_packets(self) -> None:
+        """Handle the packets that have arrived.
+
+        After a pause of the process this is called before any timer.
+        """
+        self.handle_pause(self.pauses.measure_pause())
+        self.packet_socket.receive()
+
     def handle_pause(self, pause_s: float) -> None:
         """Discard what waited during a pause, and refresh the state if it is old.
 
@@ -356,50 +360,3 @@
         f"{packets.format_ip(caller)}:{caller_port}"
         f">{packets.format_ip(target)}:{target_port}"
     )
-
-
-def main(
-    arguments: abc.Sequence[str] = tuple(sys.argv[1:]),
-    packet_socket: socket.socket | None = None,
-    started_at: float | None = None,
-) -> int:
-    """Run a forwarder with the settings file named by the first argument.
-
-    `packet_socket` is already bound, if it is given; `started_at` is the monotonic time
-    at which it was.
-    """
-    if list(arguments) == ["--list-settings"]:
-        print("\n".join(forwarderoptions.list_options()))
-        return 0
-    if len(arguments) != 1:
-        print(
-            "usage: pistachioshed-forwarder SETTINGS|--list-settings", file=sys.stderr
-        )
-        return 2
-    try:
-        settings = forwarderoptions.read_forwarder_settings(arguments[0])
-    except ExceptionGroup as group:
-        for fault in group.exceptions:
-            print(fault, file=sys.stderr)
-        return 2
-    identity = {"program": "forwarder", "node": settings.name, "zone": settings.zone}
-    stream = jsonlog.BoundedStream(sys.stdout.fileno())
-    jsonlog.set_sink(jsonlog.make_sink(identity, stream))
-    forwarder = Forwarder(
-        settings,
-        arguments[0],
-        stream,
-        packet_socket
-        or socket.socket(fileno=packetsocket.bind_descriptor(settings.packets)),
-    )
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, forwarder.handle_signal)
-    bound_s = 0.0 if started_at is None else time.monotonic() - started_at
-    forwarder.start(bound_s)
-    forwarder.loop.run_until(lambda: forwarder.is_stopped)
-    forwarder.close()
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/src/pistachioshed/apps/forwarderstart.py
+++ b/src/pistachioshed/apps/forwarderstart.py
@@ -45,12 +45,12 @@
     gc.disable()
     import socket
 
-    from pistachioshed.apps import forwarder
+    from pistachioshed.apps import forwardercommand
 
     gc.freeze()
     gc.enable()
     packet_socket = None if descriptor is None else socket.socket(fileno=descriptor)
-    return forwarder.main(arguments, packet_socket, started_at)
+    return forwardercommand.main(arguments, packet_socket, started_at)
 
 
 if __name__ == "__main__":
--- a/tests/test_forwarderoptions.py
+++ b/tests/test_forwarderoptions.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pistachioshed.apps import forwarder, forwarderoptions
+from pistachioshed.apps import forwardercommand, forwarderoptions
 
 SETTINGS = """\
 [balancer]
@@ -64,13 +64,13 @@
 ) -> None:
     """Guard against a process that starts with invalid or missing settings."""
     path = write_settings(tmp_path, SETTINGS.replace(old, new))
-    assert forwarder.main([str(path)]) == 2
+    assert forwardercommand.main([str(path)]) == 2
     assert fault in capsys.readouterr().err
 
 
 def test_settings_are_listed(capsys: pytest.CaptureFixture[str]) -> None:
     """Guard against a command line without a list of settings or a usage error."""
-    assert forwarder.main(["--list-settings"]) == 0
+    assert forwardercommand.main(["--list-settings"]) == 0
     listed = capsys.readouterr().out
     assert "[store] address: ip:port (required)" in listed
-    assert forwarder.main([]) == 2
+    assert forwardercommand.main([]) == 2
--- a/tests/test_forwarderstart.py
+++ b/tests/test_forwarderstart.py
@@ -53,7 +53,7 @@
 @pytest.mark.parametrize(
     ("module", "allowed"),
     [
-        ("pistachioshed.apps.forwarder", ALLOWED_MODULES),
+        ("pistachioshed.apps.forwardercommand", ALLOWED_MODULES),
         ("pistachioshed.apps.forwarderstart", ALLOWED_EARLY_MODULES),
     ],
 )
--- a/tests/test_reportedfailures.py
+++ b/tests/test_reportedfailures.py
@@ -4,6 +4,8 @@
 import contextlib
 import json
 import pathlib
+import signal
+import sys
 import time
 import typing
 import zlib
@@ -13,9 +15,9 @@
 import pytest
 from hypothesis import strategies
 
-from pistachioshed.adapters import eventloop, reportsocket, statemessages
+from pistachioshed.adapters import reportsocket, statemessages
 from pistachioshed.apps import forwarder, pauses
-from pistachioshed.core import segments
+from pistachioshed.core import admission, segments
 from pistachioshed.platform import packets, records, storeclient
 from tests import dispatchbuilders as build
 from tests import forwarderfleet
@@ -245,18 +247,13 @@
             fleet.store.put(records.CONFIGURATION_KEY, value)
             now = pauses.read_boot_time()
             monkeypatch.setattr(pauses, "read_boot_time", lambda: now + 20.0)
-            first.loop.remove_callback(first.packet_socket.sock, eventloop.READABLE)
-            await asyncio.sleep(0.1)
-            first.loop.add_callback(
-                first.packet_socket.sock,
-                eventloop.READABLE,
-                first.packet_socket.receive,
+            await forwarderfleet.wait_until(
+                lambda: first.metrics.get_count("packets", outcome="outdated") == 1
             )
             fresh = forwarderfleet.build_opening(40002)
             caller.send(forwarderfleet.encode_packet(fresh), first.settings.packets)
             assert await caller.receive() == packets.encode_reset(fresh)
             assert first.dispatcher.configuration.version == 2
-            assert first.metrics.get_count("packets", outcome="outdated") == 1
             with pytest.raises(TimeoutError):
                 await host.receive(0.1)
 
@@ -371,3 +368,58 @@
     clocks[time.CLOCK_BOOTTIME] += 20.0
     assert detector.measure_pause() == 20.0
     assert detector.measure_pause() == 0.0
+
+
+def test_a_stopped_process_forwards_nothing_that_waited_meanwhile(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against openings that a resumed process places before it notices."""
+
+    async def scenario() -> None:
+        async with open_fleet(tmp_path) as fleet:
+            host = fleet.open_endpoint("127.0.0.50")
+            caller = fleet.open_endpoint(forwarderfleet.CALLER_IP, fleet.port)
+            fleet.register("i-00000001", host.address)
+            path = fleet.write_settings(1, seeds="")
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "pistachioshed.apps.forwarderstart",
+                str(path),
+                stdout=asyncio.subprocess.DEVNULL,
+                env={"PYTHONPATH": ":".join(sys.path)},
+            )
+            try:
+                address = ("127.0.1.1", fleet.port)
+                first, stale, fresh = (
+                    forwarderfleet.encode_packet(forwarderfleet.build_opening(port))
+                    for port in (40001, 40002, 40003)
+                )
+                received = b""
+                async with asyncio.timeout(forwarderfleet.DEADLINE_S):
+                    while not received:
+                        caller.send(first, address)
+                        with contextlib.suppress(TimeoutError):
+                            received = await host.receive(0.1)
+                # Copies of the first opening are sent until it counts as given up.
+                await asyncio.sleep(0.5)
+                while True:
+                    try:
+                        await host.receive(0.1)
+                    except TimeoutError:
+                        break
+                process.send_signal(signal.SIGSTOP)
+                caller.send(stale, address)
+                await asyncio.sleep(admission.PAUSE_MAX_S + 0.3)
+                process.send_signal(signal.SIGCONT)
+                with pytest.raises(TimeoutError):
+                    await host.receive(0.3)
+                caller.send(fresh, address)
+                assert packets.decode_packet((await host.receive())[8:]).caller[1] == (
+                    40003
+                )
+            finally:
+                process.kill()
+                await process.wait()
+
+    asyncio.run(scenario())
--- a/tools/starts.py
+++ b/tools/starts.py
@@ -14,8 +14,10 @@
     "asyncio",
     "twisted.internet.asyncioreactor",
     "asyncio, h11, msgspec, absl.logging, automat, configparser, aioprometheus",
+    "typing, socket, selectors, json, zlib, xxhash, httptools",
     "typer",
-    "pistachioshed.apps.forwarder",
+    "pistachioshed.apps.forwarderstart",
+    "pistachioshed.apps.forwardercommand",
 )
 READ_MEMORY: typing.Final = (
     "lines = open('/proc/self/status').read().splitlines()\n"
