--- a/standins/http3.py
+++ b/standins/http3.py
@@ -1,7 +1,6 @@
 """HTTP/3 messages and client for the stand-ins, based on `aioquic`."""
 
 import asyncio
-import socket
 import ssl
 import typing
 
@@ -16,10 +15,6 @@
 IDLE_TIMEOUT_S: typing.Final = 15.0
 HANDSHAKE_TIMEOUT_S: typing.Final = 5.0
 WINDOW_BYTES: typing.Final = 4 * 1024 * 1024
-# A process that encrypts for all hosts of a service reads its sockets late under load.
-# With the default buffer datagrams were dropped, and flows waited for their
-# retransmission timeouts.
-RECEIVE_BUFFER_BYTES: typing.Final = 4 * 1024 * 1024
 
 
 class Request(typing.NamedTuple):
@@ -199,11 +194,10 @@
     """
     loop = asyncio.get_running_loop()
     quic = connection.QuicConnection(configuration=configure_client())
-    transport, client = await loop.create_datagram_endpoint(
+    _, client = await loop.create_datagram_endpoint(
         lambda: Client(quic),
         local_addr=("127.0.0.1", 0),
     )
-    enlarge_receive_buffer(transport)
     client.connect(address)
     try:
         await asyncio.wait_for(client.wait_connected(), timeout_s)
@@ -217,12 +211,6 @@
     return client
 
 
-def enlarge_receive_buffer(transport: asyncio.BaseTransport) -> None:
-    """Let the socket of a transport hold the datagrams of a burst."""
-    sock = transport.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-
-
 async def close_connection(client: Client) -> None:
     """Close a connection and its socket."""
     client.close()
--- a/standins/http3server.py
+++ b/standins/http3server.py
@@ -114,12 +114,9 @@
         record_opening(quic.original_destination_connection_id)
         return Server(quic, respond, connections)
 
-    server = await quic_server.serve(
+    return await quic_server.serve(
         address[0],
         address[1],
         configuration=settings,
         create_protocol=create_protocol,
     )
-    assert server._transport is not None
-    http3.enlarge_receive_buffer(server._transport)
-    return server
