Log the store's era, outdated batches and the reports of upstreams

`store found` and the lines of checks now have the era, `upstreams outdated` names a dropped batch, and lines on upstreams have start and sequence of the upstream's report. No decision changes.

--- a/src/pistachioshed/adapters/statemessages.py
+++ b/src/pistachioshed/adapters/statemessages.py
@@ -127,9 +127,8 @@
 
 def _build_upstream(value: object) -> directory.Upstream:
     fields = validation.require_length(value, len(directory.Upstream._fields))
-    name, number, token, service, address, zone, slots, draining, cold_s, start_ms = (
-        fields
-    )
+    name, number, token, service, address, zone, slots, *status = fields
+    draining, cold_s, start_ms, sequence = status
     return directory.Upstream(
         validation.require(name, str),
         validation.require_below(number, segments.NUMBER_RANGE),
@@ -141,6 +140,7 @@
         validation.require(draining, bool),
         validation.require_amount(cold_s),
         validation.require(start_ms, int),
+        validation.require(sequence, int),
     )
 
 
--- a/src/pistachioshed/adapters/storefeed.py
+++ b/src/pistachioshed/adapters/storefeed.py
@@ -128,7 +128,9 @@
 
     def _record_success(self) -> None:
         if not self.following:
-            jsonlog.log_event("store found", revision=self.revision)
+            jsonlog.log_event(
+                "store found", revision=self.revision, era=self.client.era
+            )
         self.following = True
         self.lost = False
 
--- a/src/pistachioshed/apps/storecheck.py
+++ b/src/pistachioshed/apps/storecheck.py
@@ -122,7 +122,10 @@
             batch = await client.wait_for_changes(records.STATE_PREFIX, revision, 0.0)
             if batch.events:
                 jsonlog.log_event(
-                    "check found changes", revision=revision, found=batch.revision
+                    "check found changes",
+                    revision=revision,
+                    found=batch.revision,
+                    era=client.era,
                 )
                 self.deliver(batch)
         except store.HistoryLost:
@@ -141,7 +144,9 @@
         except store.StoreError as error:
             self._record_failure(error)
             return False
-        jsonlog.log_event("check read a snapshot", revision=response.revision)
+        jsonlog.log_event(
+            "check read a snapshot", revision=response.revision, era=client.era
+        )
         self.deliver(storefeed.make_snapshot(response))
         return True
 
--- a/src/pistachioshed/core/directory.py
+++ b/src/pistachioshed/core/directory.py
@@ -21,6 +21,7 @@
     `number` addresses this incarnation of the upstream on the wire and `token`
     identifies it in the packets of its flows. `start_ms` distinguishes two starts under
     the same name. `cold_s` is how long the upstream is slow after its registration.
+    `sequence` counts the reports of the upstream since its start.
     """
 
     name: str
@@ -33,6 +34,7 @@
     draining: bool
     cold_s: float
     start_ms: int
+    sequence: int
 
 
 class Change(typing.NamedTuple):
--- a/src/pistachioshed/core/dispatch.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -128,6 +128,13 @@
     ) -> None:
         """Apply changes of the registered upstreams; end flows of restarted ones."""
         self.directory_updated_at = now
+        if revision < self.directory.revision:
+            self.record(
+                "upstreams outdated",
+                received=revision,
+                snapshot=snapshot,
+                upstreams=self.directory.revision,
+            )
         updates = self.directory.apply(changes, revision, snapshot, now)
         if snapshot:
             self._record_snapshot(updates, revision)
@@ -450,6 +457,8 @@
             upstream=update.name,
             service=upstream.service if upstream else None,
             draining=upstream.draining if upstream else None,
+            started_ms=upstream.start_ms if upstream else None,
+            sequence=upstream.sequence if upstream else None,
             upstreams=update.revision,
         )
 
--- a/src/pistachioshed/lab/tokenfleet.py
+++ b/src/pistachioshed/lab/tokenfleet.py
@@ -308,6 +308,7 @@
             False,
             0.0,
             1,
+            1,
         )
 
     def _build_host(
--- a/src/pistachioshed/platform/records.py
+++ b/src/pistachioshed/platform/records.py
@@ -97,6 +97,9 @@
             validation.require_amount(fields.get("cold-remaining-ms")) / 1000,
             # The start time distinguishes incarnations of a host under the same name.
             validation.get_field(fields, "born", int) if "born" in fields else 0,
+            validation.get_field(fields, "sequence", int)
+            if "sequence" in fields
+            else 0,
         )
     except (TypeError, ValueError, OverflowError, RecursionError) as error:
         raise RecordError(UPSTREAMS_PREFIX + name, str(error)) from error
--- a/src/pistachioshed/platform/storeclient.py
+++ b/src/pistachioshed/platform/storeclient.py
@@ -9,6 +9,7 @@
 from pistachioshed.ports import store
 
 REQUEST_TIMEOUT_S: typing.Final = 1.0  # The store normally responds in 4 ms.
+ERA_HEADER: typing.Final = "store-era"  # As `http1` spells the names of headers.
 
 # Characters that need no escape in a query.
 UNRESERVED: typing.Final = frozenset(
@@ -23,6 +24,9 @@
     """Read and watch prefixes of the store.
 
     A watch blocks its connection while it waits, so it needs a client of its own.
+
+    `era` is that of the last response: the store starts a new one each time it is
+    restored from a copy.
     """
 
     def __init__(
@@ -33,6 +37,7 @@
     ) -> None:
         self.connection = http1.Connection(loop, address)
         self.timeout_s = timeout_s
+        self.era = 0
 
     async def read_prefix(self, prefix: str) -> store.RangeResponse:
         """Return all pairs with a prefix.
@@ -102,6 +107,7 @@
         if response.status != 200:
             raise store.StoreUnavailable(call, peer, f"status {response.status}")
         try:
+            self.era = parse_era(response.headers)
             return decode(validation.require(json.loads(response.body), dict))
         except (ValueError, KeyError, RecursionError) as error:
             # What follows on this connection can not be trusted either.
@@ -117,6 +123,11 @@
     truncated: bool
 
 
+def parse_era(headers: dict[str, str]) -> int:
+    """Return the store's era, 0 if the response does not have one."""
+    return validation.require_count(int(headers.get(ERA_HEADER, "0")))
+
+
 def encode_query(query: dict[str, str]) -> str:
     """Return the query part of a request target."""
     return "&".join(f"{name}={escape(value)}" for name, value in query.items())
--- a/tests/dispatchbuilders.py
+++ b/tests/dispatchbuilders.py
@@ -22,6 +22,7 @@
         draining=False,
         cold_s=0.0,
         start_ms=1,
+        sequence=1,
     )
     return upstream._replace(**changes)
 
