--- a/tests/test_storecheck.py
+++ b/tests/test_storecheck.py
@@ -6,84 +6,22 @@
 """
 
 import asyncio
-import contextlib
 import pathlib
 import typing
-from collections import abc
 
 import pytest
 
 from pistachioshed.adapters import eventloop, storefeed
-from pistachioshed.apps import forwarder
 from pistachioshed.core import changetiming
 from pistachioshed.ports import store
 from standins import loopbackproxy
-from tests import forwarderfleet
+from tests import forwarderfleet, watchedfleet
 
 # The bound of the users' smaller deployments, which is the default of the settings.
 BOUND_S: typing.Final = 3.0
-ZONES: typing.Final = ("riga-a", "riga-a", "riga-b", "riga-b", "riga-c", "riga-c")
-
-
-class WatchedFleet:
-    """Six forwarders in three zones, each with a proxy to the store."""
-
-    def __init__(self, fleet: forwarderfleet.Fleet) -> None:
-        self.fleet = fleet
-        self.proxies: dict[str, loopbackproxy.LoopbackProxy] = {}
-        self.forwarders: dict[str, forwarder.Forwarder] = {}
-
-    async def start(self) -> None:
-        """Start all forwarders and wait until one in each zone watches the store."""
-        for number, zone in enumerate(ZONES, 1):
-            name = f"front-{number}"
-            self.proxies[name] = await self.fleet.add_proxy(number)
-            self.forwarders[name] = await self.fleet.start_forwarder(number, zone)
-        await forwarderfleet.wait_until(self.has_settled)
-
-    def has_settled(self) -> bool:
-        """Return whether all serve and exactly one forwarder of each zone watches."""
-        serving = all(item.serving == "serving" for item in self.forwarders.values())
-        settled = all(
-            item.state_sync.is_settled(item.clock())
-            for item in self.forwarders.values()
-        )
-        return serving and settled and len(self.list_watchers()) == len(set(ZONES))
-
-    def list_watchers(self) -> list[str]:
-        """Return the names of the forwarders that watch the store."""
-        return [
-            name
-            for name, item in self.forwarders.items()
-            if item.state_sync.watch_task is not None
-        ]
-
-    def has_everywhere(self, version: int, draining: str) -> bool:
-        """Return whether all have a configuration and know that a host drains."""
-        return all(
-            item.dispatcher.configuration.version >= version
-            and item.dispatcher.directory.upstreams[draining].draining
-            for item in self.forwarders.values()
-        )
-
-
-@contextlib.asynccontextmanager
-async def open_fleet(folder: pathlib.Path) -> abc.AsyncIterator[WatchedFleet]:
-    """Start a store and six forwarders; stop everything on exit."""
-    fleet = forwarderfleet.Fleet(folder)
-    await fleet.start()
-    fleet.configure(1, "booking")
-    for number in range(1, 6):
-        fleet.register(f"i-0000000{number}", ("127.0.0.50", 9_000 + number))
-    try:
-        watched = WatchedFleet(fleet)
-        await watched.start()
-        yield watched
-    finally:
-        await fleet.stop()
-
-
-async def change_and_wait(watched: WatchedFleet, version: int) -> float:
+
+
+async def change_and_wait(watched: watchedfleet.WatchedFleet, version: int) -> float:
     """Change configuration and a host, and return the seconds until all know both."""
     loop = asyncio.get_running_loop()
     name = f"i-0000000{version}"
@@ -103,7 +41,7 @@
     """Guard against a configuration that waits for the end of a silent long poll."""
 
     async def scenario() -> None:
-        async with open_fleet(tmp_path) as watched:
+        async with watchedfleet.open_fleet(tmp_path) as watched:
             watchers = watched.list_watchers()
             for name in watchers if affected == "all zones" else watchers[:1]:
                 watched.proxies[name].set_fault(fault)
@@ -118,12 +56,12 @@
     """Guard against a fleet that relies on the forwarder that watches next."""
 
     async def scenario() -> None:
-        async with open_fleet(tmp_path) as watched:
+        async with watchedfleet.open_fleet(tmp_path) as watched:
             silenced: set[str] = set()
             for version in (2, 3):
                 # One forwarder in six stays connected to the store.
                 for name in watched.list_watchers():
-                    if len(silenced) < len(ZONES) - 1:
+                    if len(silenced) < len(watchedfleet.ZONES) - 1:
                         watched.proxies[name].set_fault("silent")
                         silenced.add(name)
                 assert await change_and_wait(watched, version) < BOUND_S
@@ -135,7 +73,7 @@
     """Guard against watchers that wait on a connection while new ones work."""
 
     async def scenario() -> None:
-        async with open_fleet(tmp_path) as watched:
+        async with watchedfleet.open_fleet(tmp_path) as watched:
             for name in watched.list_watchers():
                 watched.proxies[name].silence_open_connections()
             assert await change_and_wait(watched, 2) < BOUND_S
