Show how a restored store breaks DRAIN and CONFIG

What callers saw: requests reached hosts over 3 s after these had said that they leave. The stand-in of the store can be restored from a copy.

--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -10,17 +10,29 @@
 from standins import http1
 
 PAGE_ITEMS: typing.Final = 50
+ERA_HEADER: typing.Final = "Store-Era"
 
 Failure = typing.Literal["none", "busy", "silent", "many"]
 
 
+class Copy(typing.NamedTuple):
+    """The content of the store at a revision."""
+
+    revision: int
+    items: dict[str, dict[str, object]]
+    history: tuple[dict[str, object], ...]
+    history_start_revision: int
+
+
 class MetadataStore:
     """Keys with revisions, and the changes after `history_start_revision`.
 
-    `failure` makes all calls fail; `invalid_response` replaces all responses.
+    `era` rises each time the store is restored from a copy. `failure` makes all calls
+    fail; `invalid_response` replaces all responses.
     """
 
     def __init__(self) -> None:
+        self.era = 1
         self.revision = 1
         self.items: dict[str, dict[str, object]] = {}
         self.history: list[dict[str, object]] = []
@@ -62,7 +74,32 @@
         self.history_start_revision = self.revision
         self.changed.set()
 
+    def make_copy(self) -> Copy:
+        """Return the current content, to restore it later."""
+        return Copy(
+            self.revision,
+            dict(self.items),
+            tuple(self.history),
+            self.history_start_revision,
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Return to the content of a copy; all that was written since is lost."""
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.history_start_revision = copy.history_start_revision
+        self.changed.set()
+
     async def handle_request(self, request: http1.Request) -> http1.Response:
+        """Respond to a request, with the era in force at that time."""
+        response = await self._respond(request)
+        return response._replace(
+            headers={**response.headers, ERA_HEADER: str(self.era)}
+        )
+
+    async def _respond(self, request: http1.Request) -> http1.Response:
         """Respond to a request, or fail as set by `failure`."""
         self.calls += 1
         if self.failure == "silent":
@@ -93,8 +130,12 @@
         after = int(query["after"])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(query["wait-ms"]) / 1000
+        era = self.era
         while True:
-            if after < self.history_start_revision:
+            if self.era != era:
+                # The store was away meanwhile, which ends all watches.
+                return http1.Response(503, {}, b"")
+            if not self.history_start_revision <= after <= self.revision:
                 return http1.Response(410, {}, b"")
             events = [
                 change
