Make the store's era a part of every revision

The store had been restored from a copy: its revisions went back.

The cause is one assumption, that revisions only rise, in the directory, the watch, the checks and the state that forwarders fetch from each other. The client of the store now reads `Store-Era` and makes it the upper part of each revision, so that the assumption holds everywhere.

--- a/src/pistachioshed/adapters/storefeed.py
+++ b/src/pistachioshed/adapters/storefeed.py
@@ -128,9 +128,7 @@
 
     def _record_success(self) -> None:
         if not self.following:
-            jsonlog.log_event(
-                "store found", revision=self.revision, era=self.client.era
-            )
+            jsonlog.log_event("store found", revision=self.revision)
         self.following = True
         self.lost = False
 
--- a/src/pistachioshed/apps/storecheck.py
+++ b/src/pistachioshed/apps/storecheck.py
@@ -122,10 +122,7 @@
             batch = await client.wait_for_changes(records.STATE_PREFIX, revision, 0.0)
             if batch.events:
                 jsonlog.log_event(
-                    "check found changes",
-                    revision=revision,
-                    found=batch.revision,
-                    era=client.era,
+                    "check found changes", revision=revision, found=batch.revision
                 )
                 self.deliver(batch)
         except store.HistoryLost:
@@ -144,9 +141,7 @@
         except store.StoreError as error:
             self._record_failure(error)
             return False
-        jsonlog.log_event(
-            "check read a snapshot", revision=response.revision, era=client.era
-        )
+        jsonlog.log_event("check read a snapshot", revision=response.revision)
         self.deliver(storefeed.make_snapshot(response))
         return True
 
--- a/src/pistachioshed/core/directory.py
+++ b/src/pistachioshed/core/directory.py
@@ -4,6 +4,8 @@
 import typing
 from collections import abc
 
+from pistachioshed.core import revisions
+
 # After a store outage, a host that still runs is registered again within about two
 # seconds of the store's return. The value is below the drain bound of 3 s.
 LAPSED_RETENTION_S: typing.Final = 2.2
@@ -101,6 +103,7 @@
             return []
         updates = []
         present = set()
+        is_restored = revisions.get_era(revision) != revisions.get_era(self.revision)
         if snapshot:
             self.changes.clear()
             self.changes_after_revision = revision
@@ -116,8 +119,9 @@
                 update = self._handle_deletion(name, revision, now)
                 if update is not None:
                     updates.append(update)
-            if updates:
+            if updates or is_restored:
                 # Entries missing from a snapshot were removed at an unknown revision.
+                # Peers must learn of a restoration even if it changed no entry.
                 self.changed_revision = max(self.changed_revision, revision)
         self.revision = revision
         if updates:
--- a/src/pistachioshed/core/dispatch.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -15,6 +15,7 @@
     flowtracker,
     healthmonitor,
     peertable,
+    revisions,
     routing,
     segments,
     selection,
@@ -135,6 +136,7 @@
                 snapshot=snapshot,
                 upstreams=self.directory.revision,
             )
+        self._record_restoration(revision)
         updates = self.directory.apply(changes, revision, snapshot, now)
         if snapshot:
             self._record_snapshot(updates, revision)
@@ -437,6 +439,19 @@
         """Return the age of known state in seconds, or None if there is none yet."""
         return None if since is None else round(max(0.0, self.ticked_at - since), 1)
 
+    def _record_restoration(self, revision: int) -> None:
+        """Log that the store has been restored from a copy since the known state."""
+        known_era = revisions.get_era(self.directory.revision)
+        era = revisions.get_era(revision)
+        if self.directory.revision and era > known_era:
+            self.record(
+                "store restored",
+                era=era,
+                previous_era=known_era,
+                received=revision,
+                upstreams=self.directory.revision,
+            )
+
     def _record_snapshot(
         self, updates: abc.Iterable[directory.Update], revision: int
     ) -> None:
--- a/src/pistachioshed/platform/storeclient.py
+++ b/src/pistachioshed/platform/storeclient.py
@@ -6,6 +6,7 @@
 from collections import abc
 
 from pistachioshed.adapters import eventloop, http1, validation
+from pistachioshed.core import revisions
 from pistachioshed.ports import store
 
 REQUEST_TIMEOUT_S: typing.Final = 1.0  # The store normally responds in 4 ms.
@@ -24,9 +25,7 @@
     """Read and watch prefixes of the store.
 
     A watch blocks its connection while it waits, so it needs a client of its own.
-
-    `era` is that of the last response: the store starts a new one each time it is
-    restored from a copy.
+    Revisions contain the store's era (`core/revisions`).
     """
 
     def __init__(
@@ -37,7 +36,6 @@
     ) -> None:
         self.connection = http1.Connection(loop, address)
         self.timeout_s = timeout_s
-        self.era = 0
 
     async def read_prefix(self, prefix: str) -> store.RangeResponse:
         """Return all pairs with a prefix.
@@ -47,6 +45,8 @@
 
         Raises
         ------
+        HistoryLost
+            If the store was restored between two pages.
         StoreUnavailable
             If the store did not return every page.
         """
@@ -57,6 +57,7 @@
             query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
             page = await self._get("range", query, self.timeout_s, decode_page)
             revision = revision or page.revision
+            self._check_era("range", revision, page.revision)
             pairs += page.pairs
             if not page.truncated or not page.pairs:
                 return store.RangeResponse(revision, tuple(pairs))
@@ -70,16 +71,19 @@
         Raises
         ------
         HistoryLost
-            If the store no longer has these changes.
+            If the store no longer has these changes, or has been restored since.
         StoreUnavailable
             If the store did not return a valid response.
         """
+        _, store_revision = revisions.split_revision(revision)
         query = {
             "prefix": prefix,
-            "after": str(revision),
+            "after": str(store_revision),
             "wait-ms": str(int(wait_s * 1000)),
         }
-        return await self._get("watch", query, wait_s + self.timeout_s, decode_batch)
+        batch = await self._get("watch", query, wait_s + self.timeout_s, decode_batch)
+        self._check_era("watch", revision, batch.revision)
+        return batch
 
     def abort(self) -> None:
         """End the call in progress, if any, with an error."""
@@ -94,7 +98,7 @@
         call: str,
         query: dict[str, str],
         timeout_s: float,
-        decode: abc.Callable[[Fields], T],
+        decode: abc.Callable[[Fields, int], T],
     ) -> T:
         target = f"/api/kv-{call}?{encode_query(query)}"
         peer = self.connection.peer
@@ -107,13 +111,20 @@
         if response.status != 200:
             raise store.StoreUnavailable(call, peer, f"status {response.status}")
         try:
-            self.era = parse_era(response.headers)
-            return decode(validation.require(json.loads(response.body), dict))
+            fields = validation.require(json.loads(response.body), dict)
+            return decode(fields, parse_era(response.headers))
         except (ValueError, KeyError, RecursionError) as error:
             # What follows on this connection can not be trusted either.
             self.close()
             raise store.StoreUnavailable(call, peer, repr(error)) from error
 
+    def _check_era(self, call: str, known: int, received: int) -> None:
+        """Raise `HistoryLost` if a response has another era than a known revision."""
+        known_era, received_era = map(revisions.get_era, (known, received))
+        if received_era != known_era:
+            cause = f"era {known_era} has ended, the store is in era {received_era}"
+            raise store.HistoryLost(call, self.connection.peer, cause)
+
 
 class Page(typing.NamedTuple):
     """A part of the pairs of a prefix; `truncated` is set if there are more."""
@@ -140,46 +151,53 @@
     )
 
 
-def decode_page(fields: Fields) -> Page:
-    """Decode a response to a read of a prefix."""
+def decode_page(fields: Fields, era: int) -> Page:
+    """Decode a response to a read of a prefix, made in an era of the store."""
+    items = validation.get_field(fields, "items", list)
     return Page(
-        validation.get_field(fields, "as-of", int),
-        tuple(map(decode_item, validation.get_field(fields, "items", list))),
+        decode_revision(fields, "as-of", era),
+        tuple(decode_item(item, era) for item in items),
         bool(fields.get("truncated")),
     )
 
 
-def decode_batch(fields: Fields) -> store.WatchBatch:
-    """Decode a response to a watch."""
+def decode_batch(fields: Fields, era: int) -> store.WatchBatch:
+    """Decode a response to a watch, made in an era of the store."""
+    events = validation.get_field(fields, "events", list)
     return store.WatchBatch(
-        validation.get_field(fields, "as-of", int),
-        tuple(map(decode_event, validation.get_field(fields, "events", list))),
+        decode_revision(fields, "as-of", era),
+        tuple(decode_event(event, era) for event in events),
     )
 
 
-def decode_item(item: typing.Any) -> store.Pair:
+def decode_item(item: typing.Any, era: int) -> store.Pair:
     """Decode an item of the store; its `created` field is a revision, not a time."""
     fields = validation.require(item, dict)
     return store.Pair(
         validation.get_field(fields, "key", str),
         decode_value(fields),
-        validation.get_field(fields, "created", int),
-        validation.get_field(fields, "revision", int),
+        decode_revision(fields, "created", era),
+        decode_revision(fields, "revision", era),
         0,
         validation.get_field(fields, "lease", int),
     )
 
 
-def decode_event(item: typing.Any) -> store.Event:
+def decode_event(item: typing.Any, era: int) -> store.Event:
     """Decode a change of the store; a deletion has no value."""
     fields = validation.require(item, dict)
     key = validation.get_field(fields, "key", str)
-    revision = validation.get_field(fields, "revision", int)
+    revision = decode_revision(fields, "revision", era)
     if fields.get("deleted"):
         return store.Event(key, b"", revision, deleted=True)
     return store.Event(key, decode_value(fields), revision)
 
 
+def decode_revision(fields: Fields, name: str, era: int) -> int:
+    """Return a field that holds a revision of the store, with the era added to it."""
+    return revisions.combine_revision(era, validation.get_field(fields, name, int))
+
+
 def decode_value(fields: Fields) -> bytes:
     """Return the value of an item."""
     value = validation.get_field(fields, "value", str)
--- a/src/pistachioshed/ports/store.py
+++ b/src/pistachioshed/ports/store.py
@@ -135,12 +135,10 @@
 class PrefixReader(typing.Protocol):
     """Read and wait for changes of the keys with a prefix, on the event loop.
 
-    Both coroutines raise `StoreUnavailable` when the store does not respond. `era` is
-    that of the last response; it rises each time the store is restored from a copy.
+    Both coroutines raise `StoreUnavailable` when the store does not respond, and
+    `HistoryLost` when it has been restored from a copy.
     """
 
-    era: int
-
     async def read_prefix(self, prefix: str) -> RangeResponse:
         """Read all pairs whose keys have a prefix."""
 
--- a/tests/test_fuzzedmessages.py
+++ b/tests/test_fuzzedmessages.py
@@ -45,7 +45,7 @@
     if isinstance(value, dict):
         for decode in (storeclient.decode_page, storeclient.decode_batch):
             with contextlib.suppress(ValueError):
-                decode(value)
+                decode(value, 1)
 
 
 @hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -12,8 +12,10 @@
 
 import pytest
 
-from standins import metadatastore, operatorrecords
-from tests import forwarderfleet, watchedfleet
+from pistachioshed.platform import storeclient
+from pistachioshed.ports import store
+from standins import http1, metadatastore, operatorrecords
+from tests import forwarderfleet, loopdriver, watchedfleet
 
 # The bound of the users' smaller deployments, which is the default of the settings.
 BOUND_S: typing.Final = 3.0
@@ -23,6 +25,16 @@
 LOST_CHANGES: typing.Final = 8
 
 
+class StoreRestoredBetweenPages(metadatastore.MetadataStore):
+    """A store that is restored to its own state after each page that it returns."""
+
+    async def handle_request(self, request: http1.Request) -> http1.Response:
+        """Respond to a request, then start the next era."""
+        response = await super().handle_request(request)
+        self.restore(self.make_copy())
+        return response
+
+
 class RestoredFleet:
     """Forwarders whose store has been restored, and lost the last changes.
 
@@ -182,3 +194,26 @@
             await fleet.stop()
 
     asyncio.run(scenario())
+
+
+# Pages of two histories would pass as one state.
+def test_pages_of_two_eras_are_not_combined() -> None:
+    """Guard against a snapshot of which a part was read before a restoration."""
+
+    async def scenario() -> None:
+        restored = StoreRestoredBetweenPages()
+        address = await restored.start()
+        assert restored.server is not None
+        for number in range(metadatastore.PAGE_ITEMS + 1):
+            restored.put(f"servers/i-{number + 1:08x}", b"")
+        driver = loopdriver.LoopDriver()
+        client = storeclient.StoreClient(driver.loop, address)
+        try:
+            with pytest.raises(store.HistoryLost):
+                await driver.run(client.read_prefix(""))
+        finally:
+            client.close()
+            driver.loop.close()
+            restored.server.close()
+
+    asyncio.run(scenario())
--- a/tests/test_storecheck.py
+++ b/tests/test_storecheck.py
@@ -141,7 +141,6 @@
     def __init__(self, loop: eventloop.EventLoop) -> None:
         self.ended = eventloop.Event(loop)
         self.waits: list[float] = []
-        self.era = 0
 
     async def read_prefix(self, prefix: str) -> store.RangeResponse:
         """Return no pairs."""
