Keep the last report of a host when the store returns from a copy

With eras compared, the entries of the copy would be taken: a host that drains would be ready again and one that has left would return, until they write again, and callers' requests would go to them (DRAIN).

Entries carry the host's own count of its reports, which rises within one start of the host and is not set back with the store. What a host writes after the restoration counts higher and is taken; entries that the copy lacks lapse as after any outage.

--- a/src/pistachioshed/core/directory.py
+++ b/src/pistachioshed/core/directory.py
@@ -59,7 +59,7 @@
 
     name: str
     outcome: typing.Literal[
-        "added", "changed", "restarted", "lapsed", "removed", "conflict"
+        "added", "changed", "restarted", "lapsed", "removed", "conflict", "outdated"
     ]
     revision: int
 
@@ -71,9 +71,13 @@
     have crashed, or the store was unavailable. A lapsed entry is retained for
     `LAPSED_RETENTION_S` and then removed.
 
+    The first snapshot after a restoration of the store contains entries of an older
+    copy. Those that are older than the last known report of their upstream are ignored.
+
     `revision` is the store revision that this state corresponds to, and
     `changed_revision` that of the last change. `changes` holds the latest changes for
-    peers; it is complete after `changes_after_revision`.
+    peers; it is complete after `changes_after_revision`. `revisions` holds the revision
+    of the last change of each upstream, also of those in `removed`.
     """
 
     def __init__(self) -> None:
@@ -111,6 +115,11 @@
             if not snapshot:
                 self._append_change(change)
             present.add(change.name)
+            if is_restored and self._is_outdated(change):
+                # Later snapshots of this era may contain the entry as well.
+                self.revisions[change.name] = revision
+                updates.append(Update(change.name, "outdated", change.revision))
+                continue
             update = self._apply_change(change, now)
             if update is not None:
                 updates.append(update)
@@ -155,6 +164,7 @@
             if not too_many and now - oldest.removed_at < REMOVED_RETENTION_S:
                 break
             self._forget(name)
+            self.revisions.pop(name, None)
         if updates:
             self._rebuild_indexes()
         return updates
@@ -210,6 +220,16 @@
             self._forget(change.name)
         return Update(change.name, outcome, change.revision)
 
+    def _is_outdated(self, change: Change) -> bool:
+        """Return whether a later report of the same upstream is known."""
+        known = self.upstreams.get(change.name)
+        if known is None and change.name in self.removed:
+            known = self.removed[change.name].upstream
+        if known is None or change.upstream is None:
+            return False
+        received = (change.upstream.start_ms, change.upstream.sequence)
+        return received < (known.start_ms, known.sequence)
+
     def _remove_predecessor(self, upstream: Upstream, now: float) -> None:
         """Remove a lapsed entry at a new one's address: its upstream has ended."""
         for name in list(self.lapsed_at):
@@ -232,7 +252,6 @@
         upstream = self.upstreams.pop(name)
         self.lapsed_at.pop(name, None)
         self.added_at.pop(name, None)
-        self.revisions.pop(name, None)
         self.removed[name] = RemovedUpstream(upstream, now)
         self.removed_by_token[upstream.token] = upstream
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pistachioshed.core import directory
+from pistachioshed.core import directory, revisions
 from tests import dispatchbuilders as build
 
 FIRST = build.build_upstream(1)
@@ -156,3 +156,53 @@
     assert registry.find_by_token(FIRST.token) == second
     registry.expire(31.0 + directory.REMOVED_RETENTION_S)
     assert registry.find_by_token(FIRST.token) is None
+
+
+def read_restored(
+    registry: directory.Directory, store_revision: int, *entries: directory.Upstream
+) -> list[directory.Update]:
+    """Apply a snapshot of the second era, whose entries are older than it."""
+    revision = revisions.combine_revision(2, store_revision)
+    oldest = revisions.combine_revision(2, 1)
+    changes = [directory.Change(entry.name, entry, oldest) for entry in entries]
+    return registry.apply(changes, revision, True, 20.0)
+
+
+@pytest.mark.parametrize("left", [False, True])
+def test_entries_of_a_restored_copy_do_not_replace_later_reports(left: bool) -> None:
+    """Guard against a host in use again that drains, or has left, by any snapshot."""
+    registry = directory.Directory()
+    revision = revisions.combine_revision(1, 30)
+    draining = FIRST._replace(draining=True, sequence=2)
+    register(registry, FIRST, SECOND, revision=revision)
+    register(registry, draining, revision=revision + 1)
+    if left:
+        remove(registry, FIRST.name, revision + 2, now=19.0)
+    for store_revision in (4, 5):
+        read_restored(registry, store_revision, FIRST, SECOND)
+        present = [] if left else [draining]
+        assert registry.list_service("booking") == [*present, SECOND]
+
+
+@pytest.mark.parametrize(
+    "reported", [FIRST._replace(sequence=9), FIRST._replace(start_ms=2, sequence=1)]
+)
+def test_a_later_report_is_used_after_a_restoration(
+    reported: directory.Upstream,
+) -> None:
+    """Guard against a host that is never used again after a restoration."""
+    registry = directory.Directory()
+    revision = revisions.combine_revision(1, 30)
+    register(registry, FIRST._replace(draining=True, sequence=8), revision=revision)
+    remove(registry, FIRST.name, revision + 1, now=19.0)
+    read_restored(registry, 4, reported)
+    assert registry.list_service("booking") == [reported]
+
+
+def test_peers_learn_of_a_restoration_that_changed_nothing() -> None:
+    """Guard against peers that stay at a revision which the store has lost."""
+    registry = directory.Directory()
+    register(registry, FIRST, revision=revisions.combine_revision(1, 30))
+    read_restored(registry, 4, FIRST)
+    assert registry.changed_revision == revisions.combine_revision(2, 4)
+    assert registry.list_changes(revisions.combine_revision(1, 30)) is None
