Restore the store from a copy in the soak

Half of the seeds lose 0.5 to 6 s of the store's writes in a run; operator and hosts write again within 2 s.

--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -49,6 +49,12 @@
         address: tuple[str, int] = self.server.sockets[0].getsockname()
         return address
 
+    def get(self, key: str) -> bytes | None:
+        """Return the value of a key, None if it does not exist."""
+        if key not in self.items:
+            return None
+        return base64.b64decode(typing.cast(str, self.items[key]["value"]))
+
     def put(self, key: str, value: bytes) -> int:
         """Write a key and return its revision."""
         self.revision += 1
--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import random
 import signal
 import typing
 from collections import abc
@@ -18,6 +19,10 @@
 # flow of this test finish.
 LEAVE_S: typing.Final = 6.5
 MIN_FAULT_KINDS: typing.Final = 3
+RESTORATION_SHARE: typing.Final = 0.5
+COPY_AGE_S: typing.Final = (0.5, 6.0)
+# Hosts write again within 2 s of the store's return.
+REWRITE_DELAY_S: typing.Final = (0.0, 2.0)
 
 
 class FaultInjector:
@@ -30,6 +35,8 @@
     def __init__(self, fleet: soakfleet.SoakFleet) -> None:
         self.fleet = fleet
         self.draw = fleet.draw
+        # A generator of its own, so that seeds keep the other faults that they drew.
+        self.restoration_draw = random.Random(f"restoration-{fleet.seed}")
         self.under_fault: set[str] = set()
         self.violations: list[str] = []
         self.log: list[str] = []
@@ -52,6 +59,8 @@
         chosen = self.draw.sample(kinds, self.draw.randint(MIN_FAULT_KINDS, len(kinds)))
         injected = []
         end = self.fleet.now() + seconds
+        if self.restoration_draw.random() < RESTORATION_SHARE:
+            injected.append(asyncio.ensure_future(self.restore_store(seconds)))
         while self.fleet.now() < end:
             kind = self.draw.choice(chosen)
             self.log.append(f"{self.fleet.now():.2f} {kind.__name__}")
@@ -197,3 +206,22 @@
     async def lose_history(self) -> None:
         """Make the store discard its history."""
         self.fleet.store.discard_history()
+
+    async def restore_store(self, seconds: float) -> None:
+        """Let the store go away at some time and return from an older copy."""
+        draw = self.restoration_draw
+        age_s = draw.uniform(*COPY_AGE_S)
+        await asyncio.sleep(draw.uniform(0.0, seconds - COPY_AGE_S[1]))
+        copy = self.fleet.store.make_copy()
+        await asyncio.sleep(age_s)
+        start = self.fleet.now()
+        self.log.append(f"{start:.2f} restore_store, copy of {age_s:.2f} s before")
+        self.fleet.store.failure = "busy"
+        self.fleet.store.changed.set()
+        await asyncio.sleep(draw.uniform(*STORE_FAULT_S))
+        self.fleet.store.restore(copy)
+        self.fleet.store.failure = "none"
+        self.fleet.rewrite_configuration()
+        await asyncio.sleep(draw.uniform(*REWRITE_DELAY_S))
+        self.fleet.rewrite_entries()
+        self.fleet.store_disturbances.append(soakfleet.Span(start, self.fleet.now()))
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -37,10 +37,12 @@
     Forwarders are at <network>.1.x, callers at <network>.2.x, hosts at <network>.3.x.
     `disturbances` and `store_disturbances` hold the periods in which a forwarder or the
     store was disturbed; `route_changes` holds when the changing target was added (True)
-    or removed; `announced_ends` holds when a host announced its end.
+    or removed; `announced_ends` holds when a host announced its end. `entries` and
+    `configuration` hold what hosts and operator wrote last.
     """
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self.seed = seed
         self.draw = random.Random(seed)
         self.folder = folder
         # Concurrent runs with different seeds use different addresses.
@@ -58,6 +60,9 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.next_host_number = 1
         self.version = 0
+        self.configuration = b""
+        self.entries: dict[str, bytes] = {}
+        self.report_counts: collections.Counter[str] = collections.Counter()
         self.disturbances: dict[str, list[Span]] = {}
         self.store_disturbances: list[Span] = []
         self.route_changes: list[tuple[float, bool]] = []
@@ -157,14 +162,29 @@
 
     def register(self, name: str, service: str, state: str) -> None:
         """Write a host's entry to the store."""
-        entry = operatorrecords.encode_entry(
-            self.addresses[name], service=service, state=state
+        self.report_counts[name] += 1
+        self.entries[name] = operatorrecords.encode_entry(
+            self.addresses[name],
+            service=service,
+            state=state,
+            sequence=self.report_counts[name],
         )
-        self.store.put(operatorrecords.get_entry_key(name), entry)
+        self.store.put(operatorrecords.get_entry_key(name), self.entries[name])
 
     def remove_entry(self, name: str) -> None:
-        """Remove a host's entry from the store."""
-        self.store.remove(operatorrecords.get_entry_key(name))
+        """Remove a host's entry from the store, unless a restoration has."""
+        self.entries.pop(name, None)
+        if self.has_entry(name):
+            self.store.remove(operatorrecords.get_entry_key(name))
+
+    def rewrite_entries(self) -> None:
+        """Write and remove what a restored store lacks of the hosts' last entries."""
+        for name in self.addresses:
+            key = operatorrecords.get_entry_key(name)
+            if name not in self.entries:
+                self.remove_entry(name)
+            elif self.store.get(key) != self.entries[name]:
+                self.store.put(key, self.entries[name])
 
     def has_entry(self, name: str) -> bool:
         """Return whether a host is registered."""
@@ -177,10 +197,14 @@
         is_routed = self.draw.random() < 0.5
         if is_routed:
             targets[CHANGING_TARGET] = "booking"
-        value = operatorrecords.encode_configuration(self.version, targets)
-        self.store.put(operatorrecords.CONFIGURATION_KEY, value)
+        self.configuration = operatorrecords.encode_configuration(self.version, targets)
+        self.rewrite_configuration()
         self.route_changes.append((self.now(), is_routed))
 
+    def rewrite_configuration(self) -> None:
+        """Write the newest configuration to the store."""
+        self.store.put(operatorrecords.CONFIGURATION_KEY, self.configuration)
+
     async def stop(self) -> None:
         """Stop the processes and close the sockets of this run."""
         if self.health_check_task is not None:
