Make the era a part of the revisions of the product's own store as well

After a restoration from a backup the watch waited without an error for a revision that the store had yet to reach, and what was written until then never arrived (test: of three changes one, of one none); a condition on revision 4 of the lost history was true for revision 4 of the new one.

etcd gives a restored cluster a new id. The stand-in's key space can be restored. Three tests failed on the code before.

--- a/src/pistachioshed/adapters/etcd.py
+++ b/src/pistachioshed/adapters/etcd.py
@@ -8,7 +8,8 @@
 import treq.client
 from twisted.internet import task
 
-from pistachioshed.adapters import etcdgateway, etcdwatch
+from pistachioshed.adapters import etcdgateway, etcdwatch, jsonlog
+from pistachioshed.core import revisions
 from pistachioshed.ports import store
 
 DEADLINE_SECONDS: typing.Final = 2.0
@@ -21,6 +22,9 @@
 
     Reads are retried with exponential backoff. A write is sent to the next address
     only if no connection to the previous one was made, so that it is never sent twice.
+
+    A store that is restored from a backup has a new cluster id. `era` counts them, and
+    is part of all revisions (`core/revisions`).
     """
 
     def __init__(
@@ -36,15 +40,19 @@
         self.clock = clock
         self.random = random
         self.deadline_seconds = deadline_seconds
+        self.cluster_id = ""
+        self.era = 0
 
     async def get(self, key: str) -> store.GetResponse:
         """Read one key."""
         response = await self.read(
             f"get {key}", "kv/range", etcdgateway.make_key_selector(key)
         )
-        pairs = [etcdgateway.parse_pair(pair) for pair in response.get("kvs", ())]
+        pairs = [
+            etcdgateway.parse_pair(pair, self.era) for pair in response.get("kvs", ())
+        ]
         return store.GetResponse(
-            etcdgateway.parse_revision(response), pairs[0] if pairs else None
+            etcdgateway.parse_revision(response, self.era), pairs[0] if pairs else None
         )
 
     async def get_prefix(
@@ -59,32 +67,51 @@
         message["sort_target"] = "KEY"
         message["sort_order"] = "DESCEND" if descending else "ASCEND"
         response = await self.read(f"get below {prefix}", "kv/range", message)
-        pairs = tuple(etcdgateway.parse_pair(pair) for pair in response.get("kvs", ()))
-        return store.RangeResponse(etcdgateway.parse_revision(response), pairs)
+        pairs = tuple(
+            etcdgateway.parse_pair(pair, self.era) for pair in response.get("kvs", ())
+        )
+        revision = etcdgateway.parse_revision(response, self.era)
+        return store.RangeResponse(revision, pairs)
 
     async def transact(
         self, compares: abc.Sequence[store.Compare], writes: abc.Sequence[store.Write]
     ) -> store.TransactResponse:
-        """Apply all writes at one revision if all conditions are true."""
+        """Apply all writes at one revision if all conditions are true.
+
+        A condition on a revision of an earlier era is false: the store may have given
+        the same revision out again.
+        """
+        if any(self.is_outdated(compare) for compare in compares):
+            return store.TransactResponse(
+                revisions.combine_revision(self.era, 0), False
+            )
         message = {
             "compare": [etcdgateway.make_compare(compare) for compare in compares],
             "success": [etcdgateway.make_write(write) for write in writes],
         }
         response = await self.write("transact", "kv/txn", message)
         return store.TransactResponse(
-            etcdgateway.parse_revision(response), bool(response.get("succeeded", False))
+            etcdgateway.parse_revision(response, self.era),
+            bool(response.get("succeeded", False)),
         )
 
+    def is_outdated(self, compare: store.Compare) -> bool:
+        """Return whether a condition is on a revision of an earlier era."""
+        if compare.target == "version" or not compare.value:
+            return False
+        return revisions.get_era(compare.value) != self.era
+
     async def grant_lease(self, ttl_seconds: int) -> store.LeaseResponse:
         """Grant a lease."""
         message = {"TTL": str(ttl_seconds)}
-        return _parse_lease(await self.write("grant lease", "lease/grant", message))
+        response = await self.write("grant lease", "lease/grant", message)
+        return _parse_lease(response, self.era)
 
     async def keep_alive(self, lease: int) -> store.LeaseResponse:
         """Renew a lease for its full time to live."""
         message = {"ID": str(lease)}
         response = await self.write("keep lease", "lease/keepalive", message)
-        return _parse_lease(response.get("result", response))
+        return _parse_lease(response.get("result", response), self.era)
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease, which deletes its keys."""
@@ -138,9 +165,26 @@
     ) -> etcdgateway.Message:
         """Make one call to one address, without retries."""
         url = f"http://{address}/v3/{path}"
-        return await etcdgateway.call(
+        response = await etcdgateway.call(
             self.http, self.clock, url, message, self.deadline_seconds
         )
+        self.update_era(response.get("result", response))
+        return response
+
+    def update_era(self, response: etcdgateway.Message) -> None:
+        """Start a new era if a response comes from another cluster than the last."""
+        cluster_id = etcdgateway.parse_cluster_id(response)
+        if not cluster_id or cluster_id == self.cluster_id:
+            return
+        if self.cluster_id:
+            self.era += 1
+            jsonlog.log_event(
+                "store restored",
+                era=self.era,
+                cluster=cluster_id,
+                previous=self.cluster_id,
+            )
+        self.cluster_id = cluster_id
 
     def demote(self, address: str) -> None:
         """Move an address that failed to the end of the list."""
@@ -153,9 +197,9 @@
         await task.deferLater(self.clock, self.random.uniform(0, max_delay_seconds))
 
 
-def _parse_lease(response: etcdgateway.Message) -> store.LeaseResponse:
+def _parse_lease(response: etcdgateway.Message, era: int) -> store.LeaseResponse:
     return store.LeaseResponse(
-        etcdgateway.parse_revision(response),
+        etcdgateway.parse_revision(response, era),
         int(response.get("ID", 0)),
         int(response.get("TTL", 0)),
     )
--- a/src/pistachioshed/adapters/etcdgateway.py
+++ b/src/pistachioshed/adapters/etcdgateway.py
@@ -11,6 +11,7 @@
 from twisted.python import failure
 from twisted.web import client, http_headers, iweb
 
+from pistachioshed.core import revisions
 from pistachioshed.ports import store
 
 Message = dict[str, typing.Any]
@@ -192,6 +193,7 @@
 def make_compare(compare: store.Compare) -> Message:
     """Return the message of a transaction's condition."""
     target, field = COMPARE_FIELDS[compare.target]
+    _, value = revisions.split_revision(compare.value)
     selection = (
         make_prefix_selector(compare.key)
         if compare.prefix
@@ -201,7 +203,7 @@
         **selection,
         "target": target,
         "result": compare.result.upper(),
-        field: str(compare.value),
+        field: str(value),
     }
 
 
@@ -215,25 +217,31 @@
     return {"request_put": put}
 
 
-def parse_revision(message: Message) -> int:
-    """Return the store's revision in the header of a response."""
-    return int(message.get("header", {}).get("revision", 0))
+def parse_cluster_id(message: Message) -> str:
+    """Return the id of the cluster that sent a response, empty if it has none."""
+    return str(message.get("header", {}).get("cluster_id", ""))
 
 
-def parse_pair(message: Message) -> store.Pair:
+def parse_revision(message: Message, era: int) -> int:
+    """Return the revision in the header of a response, made in an era of the store."""
+    store_revision = int(message.get("header", {}).get("revision", 0))
+    return revisions.combine_revision(era, store_revision)
+
+
+def parse_pair(message: Message, era: int) -> store.Pair:
     """Return the key-value pair that a message describes."""
     return store.Pair(
         decode_base64(message["key"]).decode(),
         decode_base64(message.get("value", "")),
-        int(message.get("create_revision", 0)),
-        int(message.get("mod_revision", 0)),
+        revisions.combine_revision(era, int(message.get("create_revision", 0))),
+        revisions.combine_revision(era, int(message.get("mod_revision", 0))),
         int(message.get("version", 0)),
         int(message.get("lease", 0)),
     )
 
 
-def parse_event(message: Message) -> store.Event:
+def parse_event(message: Message, era: int) -> store.Event:
     """Return the event that a message describes."""
-    pair = parse_pair(message["kv"])
+    pair = parse_pair(message["kv"], era)
     deleted = message.get("type") == "DELETE"
     return store.Event(pair.key, pair.value, pair.mod_revision, deleted)
--- a/src/pistachioshed/adapters/etcdwatch.py
+++ b/src/pistachioshed/adapters/etcdwatch.py
@@ -8,6 +8,7 @@
 from twisted.python import failure
 
 from pistachioshed.adapters import etcdgateway, jsonlog
+from pistachioshed.core import revisions
 from pistachioshed.ports import store
 
 # The store reports progress at least every 2 s; a call that receives nothing for this
@@ -21,12 +22,16 @@
     addresses: list[str]
     http: treq.client.HTTPClient
     clock: typing.Any
+    era: int
 
     async def get_prefix(
         self, prefix: str, limit: int = 0, descending: bool = False
     ) -> store.RangeResponse:
         """Read the pairs whose keys have a prefix."""
 
+    def update_era(self, response: etcdgateway.Message) -> None:
+        """Start a new era if a response comes from another cluster than the last."""
+
     def demote(self, address: str) -> None:
         """Move an address that failed to the end of the list."""
 
@@ -34,8 +39,8 @@
         """Wait before the next attempt."""
 
 
-class Compacted(Exception):
-    """The store has compacted the revision that a watch starts from."""
+class HistoryLost(Exception):
+    """The store has compacted the revision that a watch starts from, or lost it."""
 
 
 class EtcdWatch:
@@ -79,7 +84,7 @@
             address = self.store_caller.addresses[0]
             try:
                 await self._watch_address(address)
-            except Compacted:
+            except HistoryLost:
                 await self._deliver_snapshot()
                 continue
             except Exception as cause:
@@ -96,9 +101,10 @@
             await self.store_caller.pause(min(self.failures, 5))
 
     async def _watch_address(self, address: str) -> None:
+        _, store_revision = revisions.split_revision(self.revision)
         request = {
             **etcdgateway.make_prefix_selector(self.prefix),
-            "start_revision": str(self.revision),
+            "start_revision": str(store_revision),
             "progress_notify": True,
         }
         self.opened_calls += 1
@@ -157,21 +163,25 @@
         if self.deadline is not None and self.deadline.active():
             self.deadline.reset(PROGRESS_TIMEOUT_SECONDS)
         self.failures = 0
+        self.store_caller.update_era(response)
+        era = self.store_caller.era
+        if era != revisions.get_era(self.revision):
+            raise HistoryLost
         if int(response.get("compact_revision", 0)):
-            raise Compacted
+            raise HistoryLost
         if response.get("canceled"):
             raise etcdgateway.Rejected(str(response.get("cancel_reason", "canceled")))
         if response.get("created"):
             return
         events = tuple(
-            etcdgateway.parse_event(event) for event in response.get("events", ())
+            etcdgateway.parse_event(event, era) for event in response.get("events", ())
         )
         # With events, the header's revision may be newer than events that are still to
         # be sent.
         if events:
             revision = max(event.mod_revision for event in events)
         else:
-            revision = etcdgateway.parse_revision(response)
+            revision = etcdgateway.parse_revision(response, era)
         # A server that lags behind may report progress at an older revision.
         if revision < self.revision and not events:
             revision = self.revision - 1
--- a/standins/keyspace.py
+++ b/standins/keyspace.py
@@ -33,10 +33,23 @@
     return base64.b64decode(message.get(field, ""))
 
 
+class Copy(typing.NamedTuple):
+    """The content of a key space at a revision."""
+
+    revision: int
+    compacted_revision: int
+    pairs: dict[bytes, Message]
+    history: tuple[tuple[int, list[Message]], ...]
+
+
 class KeySpace:
-    """Multi-version key space of the etcd v3 API, operating on gateway messages."""
+    """Multi-version key space of the etcd v3 API, operating on gateway messages.
+
+    A restoration from a copy gives the cluster a new id.
+    """
 
     def __init__(self) -> None:
+        self.cluster_id = 1
         self.revision = 1
         self.compacted_revision = 0
         self.pairs: dict[bytes, Message] = {}
@@ -46,7 +59,29 @@
 
     def make_header(self) -> Message:
         """Return the header of a response."""
-        return {"cluster_id": "1", "member_id": "1", "revision": str(self.revision)}
+        return {
+            "cluster_id": str(self.cluster_id),
+            "member_id": "1",
+            "revision": str(self.revision),
+        }
+
+    def make_copy(self) -> Copy:
+        """Return the current content without its leases, to restore it later."""
+        return Copy(
+            self.revision,
+            self.compacted_revision,
+            dict(self.pairs),
+            tuple(self.history),
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Return to the content of a copy; all that was written since is lost."""
+        self.cluster_id += 1
+        self.revision = copy.revision
+        self.compacted_revision = copy.compacted_revision
+        self.pairs = dict(copy.pairs)
+        self.history = list(copy.history)
+        self.leases = {}
 
     def select_keys(self, message: Message) -> list[bytes]:
         """Return the existing keys in the range of a request, in order."""
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -9,6 +9,7 @@
 from twisted.python import failure
 
 from pistachioshed.adapters import etcdgateway
+from pistachioshed.core import revisions
 from pistachioshed.ports import store
 from tests import storefakes
 
@@ -216,6 +217,52 @@
     watch.stop()
 
 
+# After a restoration the watch waited for a revision that the store had yet to reach.
+@pytest.mark.parametrize("changes", [1, 3])
+def test_a_watch_continues_after_the_store_was_restored(changes: int) -> None:
+    """Guard against changes that are missed because their revisions were lost."""
+    fixture = storefakes.StoreFixture()
+    put(fixture, "/t/a")
+    copy = fixture.store_standin.keys.make_copy()
+    put(fixture, "/t/a", "/t/a")
+    batches: list[store.WatchBatch] = []
+    response = fixture.run(fixture.store.get_prefix("/t/"))
+    watch = fixture.store.watch("/t/", response.revision + 1, batches.append)
+    fixture.advance(0.5)
+    fixture.set_faults(down=True)
+    fixture.store_standin.keys.restore(copy)
+    fixture.advance(0.5)
+    fixture.set_faults()
+    names = [f"/t/{number}" for number in range(changes)]
+    put(fixture, *names)
+    fixture.advance(8.0)
+    assert batches[0].snapshot
+    revision = revisions.combine_revision(1, 2)
+    assert ("/t/a", revision) in list_events(batches[:1])
+    assert set(names) < {name for name, _ in list_events(batches)}
+    watch.stop()
+
+
+# An edit was applied to a table that had other content at the same revision.
+def test_a_condition_on_a_lost_history_fails() -> None:
+    """Guard against a write that takes a revision given out again for the one read."""
+    fixture = storefakes.StoreFixture()
+    put(fixture, "/t/a")
+    copy = fixture.store_standin.keys.make_copy()
+    put(fixture, "/t/a")
+    read = fixture.run(fixture.store.get("/t/a"))
+    assert read.pair is not None
+    fixture.store_standin.keys.restore(copy)
+    put(fixture, "/t/a")
+    unchanged = store.Compare("/t/a", "mod", read.pair.mod_revision)
+    write = store.Put("/t/a", b"2")
+    assert not fixture.run(fixture.store.transact([unchanged], [write])).succeeded
+    read = fixture.run(fixture.store.get("/t/a"))
+    assert read.pair is not None
+    unchanged = store.Compare("/t/a", "mod", read.pair.mod_revision)
+    assert fixture.run(fixture.store.transact([unchanged], [write])).succeeded
+
+
 class UnconnectedClient:
     """An HTTP client whose connection attempts end only when cancelled."""
 
