Back off from a store that cancels each watch

Each message reset the count of failures, also the one that a watch was created and the one that it was cancelled. A store without a leader was asked 480 times in 60 s by one control (test, red on the code before); with the reset moved behind both, fewer than 90.

--- a/src/pistachioshed/adapters/etcdwatch.py
+++ b/src/pistachioshed/adapters/etcdwatch.py
@@ -162,7 +162,6 @@
     def _handle_response(self, response: etcdgateway.Message) -> None:
         if self.deadline is not None and self.deadline.active():
             self.deadline.reset(PROGRESS_TIMEOUT_SECONDS)
-        self.failures = 0
         self.store_caller.update_era(response)
         era = self.store_caller.era
         if era != revisions.get_era(self.revision):
@@ -173,6 +172,7 @@
             raise etcdgateway.Rejected(str(response.get("cancel_reason", "canceled")))
         if response.get("created"):
             return
+        self.failures = 0
         events = tuple(
             etcdgateway.parse_event(event, era) for event in response.get("events", ())
         )
--- a/standins/store.py
+++ b/standins/store.py
@@ -28,7 +28,7 @@
     and `drop_writes` those whose connection is aborted before they take effect;
     `late_writes` counts those that lose their response and take effect `late_seconds`
     later. `silence_watches` stops all further messages to the watches that are open
-    when it is set.
+    when it is set; `cancel_watches` cancels each new one.
     """
 
     down: bool = False
@@ -39,6 +39,7 @@
     late_seconds: float = 0.0
     expire_lease: int = 0
     silence_watches: bool = False
+    cancel_watches: bool = False
     compact: int = 0
 
 
@@ -119,6 +120,10 @@
         create_request = message["create_request"]
         start = int(create_request.get("start_revision", 0)) or self.keys.revision + 1
         self.send(request, {"created": True})
+        if self.faults.cancel_watches:
+            self.send(request, {"canceled": True, "cancel_reason": "no leader"})
+            request.finish()
+            return
         if start <= self.keys.compacted_revision:
             compacted = str(self.keys.compacted_revision + 1)
             self.send(request, {"canceled": True, "compact_revision": compacted})
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -217,6 +217,23 @@
     watch.stop()
 
 
+# Each answer reset the back-off, and a cancelled watch was reopened 8 times a second.
+def test_a_watch_that_is_always_cancelled_backs_off() -> None:
+    """Guard against a store that is asked again at once for as long as it refuses."""
+    fixture = storefakes.StoreFixture()
+    fixture.set_faults(cancel_watches=True)
+    batches: list[store.WatchBatch] = []
+    watch = fixture.store.watch("/t/", 1, batches.append)
+    fixture.advance(60.0)
+    # The mean pause is 1 s from the fifth failure on.
+    assert watch.opened_calls < 90
+    fixture.set_faults()
+    put(fixture, "/t/a")
+    fixture.advance(3.0)
+    assert list_events(batches) == [("/t/a", 2)]
+    watch.stop()
+
+
 # After a restoration the watch waited for a revision that the store had yet to reach.
 @pytest.mark.parametrize("changes", [1, 3])
 def test_a_watch_continues_after_the_store_was_restored(changes: int) -> None:
