Report a service without a table as not settled

A balancer without its first table raised KeyError in its report once a second, after the report was sent: the gauges of members and loop lag stayed unset, and the log had a failure a second. The test failed with this KeyError before.

--- a/src/pistachioshed/core/node.py
+++ b/src/pistachioshed/core/node.py
@@ -95,7 +95,12 @@
         return self.peering.list_owners()
 
     def is_settled(self, service: str, now: float) -> bool:
-        """Return whether members and table have not changed for the settling time."""
+        """Return whether members and table have not changed for the settling time.
+
+        A service without a table is not settled.
+        """
+        if service not in self.services:
+            return False
         changed_at = max(
             self.peering.membership.view_changed_at,
             self.services[service].changed_at,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pistachioshed.core import events
+from pistachioshed.core import events, node, settings
 from tests import builders, nodefleet
 
 TABLE = builders.build_table(nodefleet.SERVICE, 7)
@@ -27,6 +27,16 @@
         ]
 
 
+# The periodic report failed each second until the first table arrived.
+def test_a_node_without_tables_can_be_described() -> None:
+    """Guard against a balancer whose metrics are missing until it has a table."""
+    config = settings.Settings(nodefleet.FIRST, "riga-a", key=b"key")
+    started = node.Node(config, 1)
+    assert not started.is_settled(nodefleet.SERVICE, 1_000.0)
+    assert started.count_flows(nodefleet.SERVICE) == 0
+    assert started.versions == {}
+
+
 def test_packet_is_relayed_once_to_the_owner() -> None:
     """Guard against relay loops and against binding where a flow is not owned."""
     fleet = nodefleet.Fleet(TABLE, 2)
@@ -232,8 +242,8 @@
                 )
             case _:
                 fleet.send(name, nodefleet.build_data(number))
-    for node in fleet.nodes.values():
-        state = node.services[nodefleet.SERVICE]
+    for member in fleet.nodes.values():
+        state = member.services[nodefleet.SERVICE]
         upstreams = {*state.pool.upstreams.values(), *state.pool.retired}
         held = state.flow_table.flows.values()
         assert sum(upstream.load.open_flows for upstream in upstreams) == len(held)
