--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -16,6 +16,9 @@
 HOSTS: typing.Final = {"booking": 3, "sheets": 2}
 CALLERS: typing.Final = 6
 HOST_PORT: typing.Final = 8080
+# Networks of 127.0.0.0/8 from 127.20 on, and blocks of three subnets in each.
+NETWORKS: typing.Final = 200
+BLOCKS: typing.Final = 80
 TARGETS: typing.Final = {
     "booking": ("198.18.0.1", 443),
     "sheets": ("198.18.0.2", 443),
@@ -34,7 +37,7 @@
 class SoakFleet:
     """Run forwarders, hosts and callers on addresses of one loopback network.
 
-    Forwarders are at <network>.1.x, callers at <network>.2.x, hosts at <network>.3.x.
+    Forwarders, callers and hosts are in a subnet each, in this order.
     `disturbances` and `store_disturbances` hold the periods in which a forwarder or the
     store was disturbed; `route_changes` holds when the changing target was added (True)
     or removed; `announced_ends` holds when a host announced its end. `entries` and
@@ -45,8 +48,13 @@
         self.seed = seed
         self.draw = random.Random(seed)
         self.folder = folder
-        # Concurrent runs with different seeds use different addresses.
-        self.network = f"127.{20 + seed % 200}"
+        # Concurrent runs use different addresses unless their seeds are equal modulo
+        # the product of networks and blocks.
+        network = 20 + seed % NETWORKS
+        first = 1 + 3 * (seed // NETWORKS % BLOCKS)
+        self.forwarder_subnet, self.caller_subnet, self.host_subnet = (
+            f"127.{network}.{number}" for number in range(first, first + 3)
+        )
         self.packet_port = forwarderfleet.find_port()
         self.peers_port = forwarderfleet.find_port()
         self.ready_port = forwarderfleet.find_port()
@@ -84,7 +92,7 @@
 
     def get_forwarder_ip(self, number: int) -> str:
         """Return the IP address of a forwarder's machine."""
-        return f"{self.network}.1.{number}"
+        return f"{self.forwarder_subnet}.{number}"
 
     def now(self) -> float:
         """Return the event loop's time in seconds."""
@@ -106,7 +114,7 @@
             self.start_forwarder(ip)
         self.health_check_task = asyncio.create_task(self.routers.run_checks())
         for number in range(CALLERS):
-            ip = f"{self.network}.2.{number + 1}"
+            ip = f"{self.caller_subnet}.{number + 1}"
             caller = packetflows.Caller(ip, self.routers, self.refusals, self.draw)
             await packetflows.open_socket(caller, (ip, self.packet_port))
             self.callers.append(caller)
@@ -147,7 +155,7 @@
     async def start_host(self, service: str) -> None:
         """Start a host and its health check, and register it."""
         name = f"i-{self.next_host_number:08x}"
-        address = (f"{self.network}.3.{self.next_host_number}", HOST_PORT)
+        address = (f"{self.host_subnet}.{self.next_host_number}", HOST_PORT)
         self.next_host_number += 1
         host = packetflows.Host(
             name, service, self.packet_port, self.execution_counts, self.arrivals
