--- a/src/pistachioshed/core/dispatch.py
+++ b/src/pistachioshed/core/dispatch.py
@@ -12,10 +12,10 @@
 
 from pistachioshed.core import (
     directory,
+    directorylog,
     flowtracker,
     healthmonitor,
     peertable,
-    revisions,
     routing,
     segments,
     selection,
@@ -127,22 +127,20 @@
         snapshot: bool,
         now: float,
     ) -> None:
-        """Apply changes of the registered upstreams; end flows of restarted ones."""
-        self.directory_updated_at = now
+        """Apply changes of the registered upstreams; end flows of restarted ones.
+
+        A batch that is older than the known state is ignored.
+        """
+        directorylog.record_batch(self.record, self.directory, revision, snapshot)
         if revision < self.directory.revision:
-            self.record(
-                "upstreams outdated",
-                received=revision,
-                snapshot=snapshot,
-                upstreams=self.directory.revision,
-            )
-        self._record_restoration(revision)
+            return
+        self.directory_updated_at = now
         updates = self.directory.apply(changes, revision, snapshot, now)
         if snapshot:
-            self._record_snapshot(updates, revision)
+            directorylog.record_snapshot(self.record, self.directory, updates, revision)
         for update in updates:
             if not snapshot or update.outcome != "added":
-                self._record_update(update)
+                directorylog.record_update(self.record, self.directory, update)
             if update.outcome == "restarted":
                 self._end_flows(update.name, "its upstream has restarted")
 
@@ -157,7 +155,7 @@
             self.monitor.review_peers(now)
             self._check_responses(now)
         for update in self.directory.expire(now):
-            self._record_update(update)
+            directorylog.record_update(self.record, self.directory, update)
         if now - self.swept_at >= SWEEP_INTERVAL_S:
             self.swept_at = now
             self.flow_tracker.expire(self.configuration.flow_idle_s, now)
@@ -439,44 +437,6 @@
         """Return the age of known state in seconds, or None if there is none yet."""
         return None if since is None else round(max(0.0, self.ticked_at - since), 1)
 
-    def _record_restoration(self, revision: int) -> None:
-        """Log that the store has been restored from a copy since the known state."""
-        known_era = revisions.get_era(self.directory.revision)
-        era = revisions.get_era(revision)
-        if self.directory.revision and era > known_era:
-            self.record(
-                "store restored",
-                era=era,
-                previous_era=known_era,
-                received=revision,
-                upstreams=self.directory.revision,
-            )
-
-    def _record_snapshot(
-        self, updates: abc.Iterable[directory.Update], revision: int
-    ) -> None:
-        """Log a snapshot in one line, whatever the number of its upstreams."""
-        services = {
-            service: len(upstreams)
-            for service, upstreams in self.directory.by_service.items()
-        }
-        added = sum(update.outcome == "added" for update in updates)
-        self.record(
-            "upstreams read", upstreams=revision, added=added, services=services
-        )
-
-    def _record_update(self, update: directory.Update) -> None:
-        upstream = self.directory.upstreams.get(update.name)
-        self.record(
-            "upstream " + update.outcome,
-            upstream=update.name,
-            service=upstream.service if upstream else None,
-            draining=upstream.draining if upstream else None,
-            started_ms=upstream.start_ms if upstream else None,
-            sequence=upstream.sequence if upstream else None,
-            upstreams=update.revision,
-        )
-
 
 def _is_after(later: int, earlier: int) -> bool:
     """Return whether a sequence number is after another one, with wrap-around."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,6 +4,7 @@
 
 from pistachioshed.core import (
     flowtracker,
+    revisions,
     routing,
     segments,
 )
@@ -285,3 +286,29 @@
     assert balancer.dispatcher.monitor.find(build.FIRST).outstanding == 1
     balancer.tick(2.6)
     assert balancer.dispatcher.monitor.find(build.FIRST).outstanding == 0
+
+
+def test_an_outdated_snapshot_is_not_logged_as_read() -> None:
+    """Guard against a log and an age of the state that name a batch not in use."""
+    balancer = build.Balancer(build.FIRST)
+    balancer.register(build.FIRST._replace(draining=True), now=5.0)
+    reads = len(balancer.find_events("upstreams read"))
+    balancer.dispatcher.update_directory([], 1, True, 9.0)
+    assert balancer.find_events("upstreams outdated") == [
+        {"received": 1, "snapshot": True, "upstreams": 2}
+    ]
+    assert len(balancer.find_events("upstreams read")) == reads
+    assert balancer.dispatcher.directory_updated_at == 5.0
+    assert not balancer.find_events("store restored")
+
+
+def test_a_restoration_of_the_store_is_logged_once() -> None:
+    """Guard against an operator who cannot tell when the store went back."""
+    balancer = build.Balancer(build.FIRST)
+    restored = revisions.combine_revision(2, 7)
+    change = build.build_change(build.FIRST, restored)
+    for _ in range(2):
+        balancer.dispatcher.update_directory([change], restored, True, 9.0)
+    assert balancer.find_events("store restored") == [
+        {"era": 2, "previous_era": 0, "received": restored, "upstreams": 1}
+    ]
