--- a/src/pistachioshed/apps/forwarder.py
+++ b/src/pistachioshed/apps/forwarder.py
@@ -29,6 +29,7 @@
     dispatch,
     peertable,
     reportbuilder,
+    revisions,
     segments,
     servingstate,
 )
@@ -230,7 +231,9 @@
         self.metrics.set_gauge(
             "configuration_version", self.dispatcher.configuration.version
         )
-        self.metrics.set_gauge("upstreams_revision", self.dispatcher.directory.revision)
+        revision = self.dispatcher.directory.revision
+        self.metrics.set_gauge("upstreams_revision", revision)
+        self.metrics.set_gauge("store_era", revisions.get_era(revision))
         self.metrics.set_gauge("log_lines_dropped", self.count_dropped_lines())
         headers = {"Content-Type": metrics.CONTENT_TYPE}
         return http1.Response(200, headers, self.metrics.render())
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -208,6 +208,7 @@
             response = await forwarderfleet.get(first.settings.metrics, "/metrics")
             assert response.status == 200
             assert b"pistachioshed_forwarder_configuration_version 1" in response.body
+            assert b"pistachioshed_forwarder_store_era 1" in response.body
             assert b"pistachioshed_forwarder_store_calls_total" in response.body
 
     asyncio.run(scenario())
--- a/tests/test_reportpacer.py
+++ b/tests/test_reportpacer.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pistachioshed.adapters import reportsocket
-from pistachioshed.core import peertable, reportbuilder, reportpacer
+from pistachioshed.core import peertable, reportbuilder, reportpacer, revisions
 from tests import dispatchbuilders as build
 
 TICK_S = 0.02
@@ -58,7 +58,7 @@
         start_ms=1_796_403_000_123,
         sequence=123_456,
         capacity=200.0,
-        upstreams_changed_revision=1_234_567,
+        upstreams_changed_revision=revisions.combine_revision(12, 1_234_567),
         configuration_version=12_345,
         peers=(address,) * reportbuilder.PEERS_PER_REPORT,
     )
