Let the soak see what a restored store does

It now loses up to 12 versions in the first seconds, and a host drains once the store has been written again.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,9 @@
     # Hosts without a health check stayed suspect forever after two lost openings.
     1,
     2,
+    # Hosts that drained after a restoration of the store got flows for over 3 s.
+    3003,
+    3029,
 ]
 
 
--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -20,9 +20,13 @@
 LEAVE_S: typing.Final = 6.5
 MIN_FAULT_KINDS: typing.Final = 3
 RESTORATION_SHARE: typing.Final = 0.5
-COPY_AGE_S: typing.Final = (0.5, 6.0)
+# Early and short enough that a host that drains afterwards is checked within the run.
+RESTORATION_START_S: typing.Final = (0.0, 1.0)
+COPY_AGE_S: typing.Final = (0.5, 2.0)
+RESTORATION_S: typing.Final = (0.3, 1.0)
+LOST_CHANGES_MAX: typing.Final = 12
 # Hosts write again within 2 s of the store's return.
-REWRITE_DELAY_S: typing.Final = (0.0, 2.0)
+REWRITE_DELAY_S: typing.Final = (0.0, 1.0)
 
 
 class FaultInjector:
@@ -35,7 +39,7 @@
     def __init__(self, fleet: soakfleet.SoakFleet) -> None:
         self.fleet = fleet
         self.draw = fleet.draw
-        # A generator of its own, so that seeds keep the other faults that they drew.
+        # A generator of its own, so that seeds without it keep the faults they drew.
         self.restoration_draw = random.Random(f"restoration-{fleet.seed}")
         self.under_fault: set[str] = set()
         self.violations: list[str] = []
@@ -60,7 +64,7 @@
         injected = []
         end = self.fleet.now() + seconds
         if self.restoration_draw.random() < RESTORATION_SHARE:
-            injected.append(asyncio.ensure_future(self.restore_store(seconds)))
+            injected.append(asyncio.ensure_future(self.restore_store()))
         while self.fleet.now() < end:
             kind = self.draw.choice(chosen)
             self.log.append(f"{self.fleet.now():.2f} {kind.__name__}")
@@ -207,21 +211,24 @@
         """Make the store discard its history."""
         self.fleet.store.discard_history()
 
-    async def restore_store(self, seconds: float) -> None:
-        """Let the store go away at some time and return from an older copy."""
+    async def restore_store(self) -> None:
+        """Let the store return from a copy that lacks changes, then drain a host."""
         draw = self.restoration_draw
         age_s = draw.uniform(*COPY_AGE_S)
-        await asyncio.sleep(draw.uniform(0.0, seconds - COPY_AGE_S[1]))
+        await asyncio.sleep(draw.uniform(*RESTORATION_START_S))
         copy = self.fleet.store.make_copy()
+        for _ in range(draw.randint(0, LOST_CHANGES_MAX)):
+            self.fleet.write_configuration()
         await asyncio.sleep(age_s)
         start = self.fleet.now()
         self.log.append(f"{start:.2f} restore_store, copy of {age_s:.2f} s before")
         self.fleet.store.failure = "busy"
         self.fleet.store.changed.set()
-        await asyncio.sleep(draw.uniform(*STORE_FAULT_S))
+        await asyncio.sleep(draw.uniform(*RESTORATION_S))
         self.fleet.store.restore(copy)
         self.fleet.store.failure = "none"
         self.fleet.rewrite_configuration()
         await asyncio.sleep(draw.uniform(*REWRITE_DELAY_S))
         self.fleet.rewrite_entries()
         self.fleet.store_disturbances.append(soakfleet.Span(start, self.fleet.now()))
+        await self.drain_host()
