Write out the events of upstreams

test_pages found that a page for operators names `upstream outdated`, which stood nowhere in the sources, as the name was put together from the outcome.

--- a/src/pistachioshed/core/directorylog.py
+++ b/src/pistachioshed/core/directorylog.py
@@ -1,9 +1,21 @@
 """Log what is received for the directory of upstreams, and what it changes."""
 
+import typing
 from collections import abc
 
 from pistachioshed.core import directory, revisions, segments
 
+# Written out, so that a search for an event finds it.
+UPDATE_EVENTS: typing.Final = {
+    "added": "upstream added",
+    "changed": "upstream changed",
+    "restarted": "upstream restarted",
+    "lapsed": "upstream lapsed",
+    "removed": "upstream removed",
+    "conflict": "upstream conflict",
+    "outdated": "upstream outdated",
+}
+
 
 def record_batch(
     record: segments.Record,
@@ -48,7 +60,7 @@
     """Log the change of one upstream."""
     upstream = registry.upstreams.get(update.name)
     record(
-        "upstream " + update.outcome,
+        UPDATE_EVENTS[update.outcome],
         upstream=update.name,
         service=upstream.service if upstream else None,
         draining=upstream.draining if upstream else None,
