--- a/review/standins/settings.py
+++ b/review/settings.py
@@ -5,7 +5,7 @@
 import re
 import shlex
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 TAG = re.compile(r"\{\{([#^/]?)([^{}]+)\}\}")
 
 
