--- a/review/fleet.py
+++ b/review/fleet.py
@@ -344,19 +344,29 @@
     }
 
 
+def stop_on_signal(number, _frame):
+    """End the run, and with it all processes that it started."""
+    raise SystemExit(2)
+
+
 def run(folder, case, machines, bounds=None):
-    """Run a case and return the exit status.
+    """Run a case and return the exit status: 1 only if the rule was broken.
 
     `case` is a coroutine function that gets the fleet and returns the breaks of the
     rule, as a list of texts.
     """
-    fleet = Fleet(folder, machines, bounds)
+    signal.signal(signal.SIGTERM, stop_on_signal)
+    try:
+        fleet = Fleet(folder, machines, bounds)
+    except Exception as error:
+        print("the case could not run:", repr(error))
+        return 2
     trouble = os.environ.get("TROUBLE", "1") != "0"
     fleet.record("run", trouble=trouble, case=pathlib.Path(folder).name)
 
     async def play():
-        await fleet.start_store()
         try:
+            await fleet.start_store()
             return await asyncio.wait_for(case(fleet, trouble), 110)
         finally:
             await fleet.stop()
@@ -369,7 +379,8 @@
             fleet.record_file.write(f"BREAK {text}\n")
             print("BREAK", text)
         print("the rule was broken" if breaks else "the rule held")
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:
+        # An error of the script says nothing about the rule.
         print("the case could not run:", repr(error))
         fleet.record_file.write(f"could not run: {error!r}\n")
     finally:
--- a/review/settings.py
+++ b/review/settings.py
@@ -4,6 +4,7 @@
 import pathlib
 import re
 import shlex
+import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 TAG = re.compile(r"\{\{([#^/]?)([^{}]+)\}\}")
@@ -54,14 +55,9 @@
 
 def read_role():
     """Return the command and the template of the forwarder in deploy/system.toml."""
-    try:
-        import tomllib
-
-        text = (ROOT / "deploy/system.toml").read_text()
-        role = tomllib.loads(text)["roles"]["forwarder"]
-        return shlex.split(role["run"]), (ROOT / role["template"]).read_text()
-    except ModuleNotFoundError as error:
-        raise SystemExit("Python 3.11 or later is needed") from error
+    text = (ROOT / "deploy/system.toml").read_text()
+    role = tomllib.loads(text)["roles"]["forwarder"]
+    return shlex.split(role["run"]), (ROOT / role["template"]).read_text()
 
 
 def make_fields(name, zone, ip, ports, store, seeds, bounds, zones):
