--- a/review/second/clients.py
+++ b/review/second/clients.py
@@ -1,6 +1,7 @@
 """Stand-in routers and clients: flows over UDP through the forwarders in rotation."""
 
 import asyncio
+import itertools
 import random
 import socket
 import typing
@@ -90,9 +91,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         sock.bind((self.ip, self.routers.packet_port))
-        self.transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, sock=sock
-        )
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=sock)
 
     def datagram_received(self, data: bytes, sender: tuple[str, int]) -> None:
         """Pass a packet to the flow that it belongs to."""
@@ -136,6 +135,7 @@
         self.seq = client.rng.randrange(2**32)
         self.ack = 0
         self.echo = 0
+        self.acknowledged = self.seq
         self.is_reset = False
         self.last_ip = ""
 
@@ -177,12 +177,20 @@
         data = f"{request} {route} {work_ms:.0f}".encode()
         packet = self.build(wire.ACK, data)
         client.record(
-            "sent", request=request, route=route, flow=str(self.source), zone=client.zone
+            "sent",
+            request=request,
+            route=route,
+            flow=str(self.source),
+            zone=client.zone,
         )
         loop = asyncio.get_running_loop()
         deadline = loop.time() + deadline_s
-        for wait_s in RETRANSMIT_S:
-            self.last_ip = client.send(packet)
+        end = (self.seq + len(data)) % 2**32
+        self.acknowledged = self.seq
+        waits_s = itertools.chain(RETRANSMIT_S, itertools.repeat(RETRANSMIT_S[-1]))
+        for wait_s in waits_s:
+            if self.acknowledged != end:
+                self.last_ip = client.send(packet)
             until = min(loop.time() + wait_s, deadline)
             try:
                 async with asyncio.timeout_at(until):
@@ -220,6 +228,8 @@
         """Return the next answer or reset of the system, None for one of a host."""
         while True:
             packet = await self.inbox.get()
+            if packet.flags & wire.ACK and not packet.flags & wire.SYN:
+                self.acknowledged = packet.ack
             if packet.flags & wire.RST:
                 if packet.checksum:
                     return None
--- a/review/second/hosts.py
+++ b/review/second/hosts.py
@@ -1,7 +1,6 @@
 """Stand-in hosts: flows over UDP, health checks over TCP, entries in the store."""
 
 import asyncio
-import collections
 import json
 import random
 import socket
@@ -36,7 +35,7 @@
     """A host of one service.
 
     Each request is one packet `ID ROUTE WORK_MS`; the response is one packet
-    `ID HOST SERVICE`.
+    `ID HOST SERVICE`, or `ID HOST full` for a request that was not run.
     """
 
     def __init__(
@@ -48,8 +47,11 @@
         caller_port: int,
         record: Record,
         slots: int = 2,
+        queue: int = 8,
         backlog: int | None = None,
     ) -> None:
+        self.queue = queue
+        self.waiting = 0
         self.backlog = backlog
         self.name = name
         self.number = int(name.rpartition("-")[2], 16)
@@ -64,7 +66,6 @@
         self.sequence = 0
         self.flows: dict[FlowKey, Flow] = {}
         self.semaphore = asyncio.Semaphore(slots)
-        self.runs: collections.Counter[str] = collections.Counter()
         self.transport: typing.Any = None
         self.server: asyncio.Server | None = None
         self.listener: socket.socket | None = None
@@ -77,9 +78,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         sock.bind(self.address)
-        self.transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, sock=sock
-        )
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=sock)
         if self.backlog is None:
             self.server = await asyncio.start_server(self.serve_health, *self.address)
             return
@@ -209,7 +208,10 @@
             self.flows.pop(key, None)
 
     def receive_request(self, packet: wire.Packet, flow: Flow) -> None:
-        """Run a new request; answer a copy of an earlier one again."""
+        """Run a new request; acknowledge a copy of an earlier one, or answer it again.
+
+        A copy is the second packet of its request, so it is acknowledged at once.
+        """
         if packet.seq == flow.received and not flow.running:
             flow.received = (packet.seq + len(packet.data)) % 2**32
             flow.running = True
@@ -217,21 +219,39 @@
         elif packet.seq in flow.responses:
             seq, body = flow.responses[packet.seq]
             self.send(packet, wire.ACK, seq, flow.received, flow.echo, body)
+        else:
+            self.send(packet, wire.ACK, flow.sent, flow.received, flow.echo)
 
     async def run(self, packet: wire.Packet, flow: Flow) -> None:
         """Run a request in a slot and send its response until it is acknowledged."""
         request, route, work_ms = packet.data.decode().split()
-        async with self.semaphore:
-            self.runs[request] += 1
+        if self.semaphore.locked() and self.waiting >= self.queue:
+            self.record("full", host=self.name, request=request)
+            await self.respond(packet, flow, f"{request} {self.name} full")
+            return
+        self.waiting += 1
+        await self.semaphore.acquire()
+        self.waiting -= 1
+        try:
             self.record(
-                "run", host=self.name, service=self.service, request=request, route=route
+                "run",
+                host=self.name,
+                service=self.service,
+                request=request,
+                route=route,
             )
             await asyncio.sleep(float(work_ms) / 1000)
+        finally:
+            self.semaphore.release()
+        await self.respond(packet, flow, f"{request} {self.name} {self.service}")
+
+    async def respond(self, packet: wire.Packet, flow: Flow, text: str) -> None:
+        """Send a response until it is acknowledged."""
         flow.running = False
         key = (packet.source, packet.target)
         if self.flows.get(key) is not flow:
             return
-        body = f"{request} {self.name} {self.service}".encode()
+        body = text.encode()
         seq = flow.sent
         flow.sent = (seq + len(body)) % 2**32
         flow.responses[packet.seq] = (seq, body)
--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -1,6 +1,7 @@
 """A small deployment: forwarders as separate processes, all else in this process."""
 
 import asyncio
+import gc
 import json
 import os
 import pathlib
@@ -70,7 +71,9 @@
     def expand(match: re.Match[str]) -> str:
         return match[2] if find(match[1]) not in (None, False) else ""
 
-    text = re.sub(r"\{\{#([^}]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", expand, template, flags=re.S)
+    text = re.sub(
+        r"\{\{#([^}]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", expand, template, flags=re.S
+    )
 
     def replace(match: re.Match[str]) -> str:
         value = find(match[1])
@@ -126,6 +129,7 @@
         self.routes = routes
         self.processes: dict[str, subprocess.Popen] = {}
         self.store = store.Store()
+        self.store_ip = f"{self.block}.0.1"
         self.hosts: list[hosts.Host] = []
         identifiers = random.Random(7)
         for service, places in services.items():
@@ -178,16 +182,24 @@
                 "grace-s": 6,
                 "config-propagation-ms": 3000,
             },
-            "platform": {"address": f"{self.block}.0.1:{self.store_port}"},
+            "platform": {"address": f"{self.store_ip}:{self.store_port}"},
         }
 
+    def write_settings(self, ip: str) -> pathlib.Path:
+        """Write a forwarder's settings file in one step, and return its path."""
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        template = (ROOT / deploy["roles"]["forwarder"]["template"]).read_text()
+        path = self.directory / f"{ip}.ini"
+        new_path = path.with_suffix(".new")
+        new_path.write_text(render(template, self.describe_settings(ip)))
+        new_path.replace(path)
+        return path
+
     def start_forwarder(self, ip: str) -> None:
         """Start a forwarder with the command of the deploy file."""
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["forwarder"]
-        path = self.directory / f"{ip}.ini"
-        template = (ROOT / role["template"]).read_text()
-        path.write_text(render(template, self.describe_settings(ip)))
+        path = self.write_settings(ip)
         words = role["run"].replace(SETTINGS_PATH, str(path)).split()
         dependencies = ROOT / "target/deps"
         if not dependencies.is_dir():
@@ -251,7 +263,7 @@
 
     async def start(self) -> None:
         """Start everything and wait until all forwarders are in rotation."""
-        await self.store.start((f"{self.block}.0.1", self.store_port))
+        await self.store.start((self.store_ip, self.store_port))
         self.put_configuration(7)
         for host in self.hosts:
             await host.start()
@@ -329,8 +341,13 @@
         task = asyncio.current_task()
         assert task is not None
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-        async with asyncio.timeout(RUN_MAX_S):
-            return await play(has_trouble)
+        try:
+            async with asyncio.timeout(RUN_MAX_S):
+                return await play(has_trouble)
+        finally:
+            # Cancelled tasks end, and their connections close, while the loop runs.
+            await asyncio.sleep(0.1)
+            gc.collect()
 
     try:
         held = asyncio.run(run())
