Add case 10: a changed address of the store is not used

Cause: of the settings only seeds and stop_s are applied when their file changes; a forwarder asks the store at the address of its start.

Change: review/10 gives all forwarders settings with another address, 3 of 8 with a SIGHUP; the store answers there. 12 s later the operator drops a route.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONPYCACHEPREFIX="$PWD/target/review" python3 -m compileall -q -f review/second \
-    review/6 review/7 review/8 review/9
+    review/6 review/7 review/8 review/9 review/10
