--- a/review/rig2.py
+++ b/review/rig2.py
@@ -24,6 +24,7 @@
 HEARTBEAT_S = 1.2
 IDLE_TIMEOUT_MS = 15_000
 RUN_MAX_S = 105.0
+METRICS_PORT = 9464  # As in the settings template.
 # `run.sh` makes 1 of `BROKEN`: Python itself exits with 1 after an error.
 HELD, BROKEN, CANNOT_RUN = 0, 10, 2
 LOGGED_EVENTS = ("flow reset",)
@@ -58,6 +59,23 @@
     raise CannotRun("no free port")
 
 
+def reserve_block() -> tuple[str, socket.socket]:
+    """Return the start of a block of loopback addresses, and a socket that holds it.
+
+    The port of the metrics is fixed, so two runs must not share addresses.
+    """
+    for _ in range(100):
+        block = f"127.{random.SystemRandom().randrange(16, 240)}"
+        lock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            lock.bind((f"{block}.0.254", METRICS_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return block, lock
+    raise CannotRun("no free addresses")
+
+
 def render(template: str, fields: dict[str, typing.Any]) -> str:
     """Fill in a settings template in the way of the deploy page."""
 
@@ -120,7 +138,7 @@
         self.lines = record_path.open("w", encoding="utf-8")
         self.events: list[dict[str, typing.Any]] = []
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        self.block = f"127.{random.SystemRandom().randrange(16, 240)}"
+        self.block, self.block_lock = reserve_block()
         self.packet_port, self.ready_port, self.peer_port = (
             find_port() for _ in range(3)
         )
@@ -324,6 +342,7 @@
         if self.store.server is not None:
             self.store.server.close()
         self.lines.close()
+        self.block_lock.close()
         shutil.rmtree(self.directory)
 
 
